--- /dev/null
+++ b/crates/daemon/src/admin_server.rs
@@ -0,0 +1,270 @@
+//! Serves operators and scrapers.
+
+use std::net::SocketAddr;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+use serde::Serialize;
+
+use crocushoist_coordination::FleetRecord;
+use crocushoist_protocol::ConfigReport;
+use crocushoist_protocol::EditCall;
+use crocushoist_protocol::EditFailure;
+use crocushoist_protocol::ExceptionReport;
+use crocushoist_protocol::HostReport;
+use crocushoist_protocol::InstanceReport;
+use crocushoist_protocol::ShardReport;
+use crocushoist_protocol::StatusReport;
+use crocushoist_state::ClockTime;
+use crocushoist_state::HostAddress;
+use crocushoist_state::IncarnationId;
+use crocushoist_transport::AnswerBody;
+
+use crate::edit_desk::submit_edit;
+use crate::host_context::HostContext;
+use crate::host_context::SharedContext;
+use crate::host_metrics::HostMetrics;
+use crate::host_state::HostState;
+
+const MAX_CALL_BYTES: usize = 64 * 1024;
+const MILLIS_PER_SECOND: u64 = 1_000;
+const NANOS_PER_MILLI: u64 = 1_000_000;
+
+/// Answers one request of an operator or a scraper.
+pub(crate) async fn answer_admin(
+    context: SharedContext,
+    _: SocketAddr,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/metrics") => text(StatusCode::OK, context.metrics.text()),
+        (&Method::GET, "/status") => json(StatusCode::OK, &status_of(&context)),
+        (&Method::GET, "/config") => {
+            let report = ConfigReport::from(&context.state.borrow().fold);
+            json(StatusCode::OK, &report)
+        }
+        (&Method::POST, "/edits") => answer_edit(&context, request.into_body()).await,
+        (&Method::POST, path) if path.starts_with("/ended/") => {
+            answer_ended(&context, path, request.into_body()).await
+        }
+        _ => text(
+            StatusCode::NOT_FOUND,
+            "paths: GET /status, GET /config, GET /metrics, POST /edits, POST /ended/INCARNATION\n"
+                .into(),
+        ),
+    }
+}
+
+async fn answer_edit(context: &HostContext, body: Incoming) -> Response<AnswerBody> {
+    let call = match read_call(body).await {
+        Ok(call) => call,
+        Err(error) => return json(StatusCode::BAD_REQUEST, &failure(error)),
+    };
+    match submit_edit(context, call).await {
+        Ok(answer) => json(StatusCode::OK, &answer),
+        Err(failure) if failure.may_take_effect => json(StatusCode::GATEWAY_TIMEOUT, &failure),
+        Err(failure) => json(StatusCode::CONFLICT, &failure),
+    }
+}
+
+async fn read_call(body: Incoming) -> Result<EditCall, CompactString> {
+    let bytes = read_body(body).await?;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| format_compact!("the edit cannot be read: {error}"))
+}
+
+async fn read_body(body: Incoming) -> Result<Vec<u8>, CompactString> {
+    let collected = Limited::new(body, MAX_CALL_BYTES).collect().await;
+    let whole = collected.map_err(|error| format_compact!("the body cannot be read: {error}"))?;
+    Ok(whole.to_bytes().to_vec())
+}
+
+/// Records an operator's word that an incarnation has ended.
+async fn answer_ended(context: &HostContext, path: &str, body: Incoming) -> Response<AnswerBody> {
+    let number = path.trim_start_matches("/ended/");
+    let Ok(incarnation) = u64::from_str_radix(number, 16) else {
+        let error = format!("incarnation \"{number}\" is not a hexadecimal number");
+        return json(StatusCode::BAD_REQUEST, &failure(error));
+    };
+    let reason = match read_body(body).await {
+        Ok(bytes) => CompactString::from(String::from_utf8_lossy(&bytes)),
+        Err(error) => return json(StatusCode::BAD_REQUEST, &failure(error)),
+    };
+    if reason.trim().is_empty() {
+        return json(
+            StatusCode::BAD_REQUEST,
+            &failure("the body must carry the reason"),
+        );
+    }
+    let record = FleetRecord::End {
+        incarnation: IncarnationId(incarnation),
+        author: "operator".into(),
+        reason,
+    };
+    match context.append(&record).await {
+        Ok(offset) => json(StatusCode::OK, &serde_json::json!({ "offset": offset })),
+        Err(error) => json(StatusCode::BAD_GATEWAY, &failure(error.to_string())),
+    }
+}
+
+fn failure(error: impl Into<CompactString>) -> EditFailure {
+    EditFailure {
+        error: error.into(),
+        may_take_effect: false,
+    }
+}
+
+fn status_of(context: &HostContext) -> StatusReport {
+    let now = ClockTime::now();
+    let state = context.state.borrow();
+    let (held, active) = state.ledger.counts();
+    let own = state.own.incarnation;
+    StatusReport {
+        host: host_report(
+            &state.own.address,
+            own,
+            state.fold.next_offset(),
+            0,
+            state.stopping,
+        ),
+        accepted: state.acceptance.accepted(),
+        evidence_age_ms: state.freshness.age(now),
+        fresh: state.is_fresh(now),
+        shards_held: held,
+        shards_active: active,
+        peers: peer_reports(&state, now),
+        shards: shard_reports(&state),
+        instances: instance_reports(&state, now),
+        exceptions: exception_reports(&state),
+        answered: context.metrics.answered(),
+        refusals: context.metrics.refusals(),
+        retries: context.metrics.retries(),
+        breaches: HostMetrics::breaches(),
+        control_bytes: context.meter.total(),
+        cpu_ms: cpu_millis(),
+        uptime_ms: now.since(context.started_at),
+    }
+}
+
+fn host_report(
+    address: &HostAddress,
+    incarnation: IncarnationId,
+    next_offset: u64,
+    silent_ms: u64,
+    leaving: bool,
+) -> HostReport {
+    HostReport {
+        callers: address.callers,
+        peers: address.peers,
+        data_centre: address.data_centre.clone(),
+        incarnation: format_compact!("{:016x}", incarnation.0),
+        next_offset,
+        silent_ms,
+        leaving,
+    }
+}
+
+fn peer_reports(state: &HostState, now: ClockTime) -> Vec<HostReport> {
+    let mut reports: Vec<HostReport> = state
+        .directory
+        .iter()
+        .map(|(incarnation, peer)| {
+            let silent = now.since(peer.heard_at);
+            host_report(
+                &peer.address,
+                incarnation,
+                peer.next_offset,
+                silent,
+                peer.leaving,
+            )
+        })
+        .collect();
+    reports.sort_unstable_by_key(|report| report.peers);
+    reports
+}
+
+fn shard_reports(state: &HostState) -> Vec<ShardReport> {
+    state
+        .fold
+        .table()
+        .iter()
+        .map(|(shard, entry)| ShardReport {
+            shard: shard.as_u32(),
+            generation: entry.generation,
+            holder: entry.holder.as_ref().map(|holder| holder.address.peers),
+            incarnation: entry
+                .holder
+                .as_ref()
+                .map(|holder| format_compact!("{:016x}", holder.incarnation.0)),
+        })
+        .collect()
+}
+
+fn instance_reports(state: &HostState, now: ClockTime) -> Vec<InstanceReport> {
+    state
+        .pool
+        .iter()
+        .map(|(_, instance)| InstanceReport {
+            service: instance.service.clone(),
+            address: instance.address,
+            data_centre: instance.data_centre.clone(),
+            state: if instance.leaving {
+                "leaving".into()
+            } else if instance.avoided_until > now {
+                "avoided".into()
+            } else {
+                "live".into()
+            },
+            outstanding: instance.outstanding,
+            latency_micros: instance.latency_micros,
+        })
+        .collect()
+}
+
+fn exception_reports(state: &HostState) -> Vec<ExceptionReport> {
+    state
+        .fold
+        .config()
+        .exceptions()
+        .map(|(scope, setting, entry)| ExceptionReport {
+            scope: format_compact!("{scope}"),
+            setting: setting.name().into(),
+            value: entry.value,
+            reason: entry.reason.clone(),
+            author: entry.author.clone(),
+        })
+        .collect()
+}
+
+fn cpu_millis() -> u64 {
+    let time = clock_gettime(ClockId::ProcessCPUTime);
+    time.tv_sec as u64 * MILLIS_PER_SECOND + time.tv_nsec as u64 / NANOS_PER_MILLI
+}
+
+fn json(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
+    let body = serde_json::to_string(value).unwrap_or_default();
+    respond(status, "application/json", body)
+}
+
+fn text(status: StatusCode, body: String) -> Response<AnswerBody> {
+    respond(status, "text/plain; charset=utf-8", body)
+}
+
+fn respond(status: StatusCode, kind: &'static str, body: String) -> Response<AnswerBody> {
+    Response::builder()
+        .status(status)
+        .header(CONTENT_TYPE, kind)
+        .body(AnswerBody::whole(body))
+        .unwrap_or_else(|_| Response::new(AnswerBody::whole("")))
+}
--- /dev/null
+++ b/crates/daemon/src/edit_desk.rs
@@ -0,0 +1,128 @@
+//! Takes operators' edits to the log and waits until they are accepted.
+//!
+//! An append whose reply was lost is sent again with the same number, which
+//! the fold ignores the second time. "Accepted" is answered only once the
+//! record was read back and a majority of the shard holders folded it.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compio::time::sleep;
+
+use crocushoist_coordination::EditId;
+use crocushoist_coordination::EditOutcome;
+use crocushoist_coordination::EditRecord;
+use crocushoist_coordination::FleetRecord;
+use crocushoist_protocol::EditAnswer;
+use crocushoist_protocol::EditCall;
+use crocushoist_protocol::EditFailure;
+use crocushoist_state::ClockTime;
+use crocushoist_state::ConfigChange;
+
+use crate::host_context::HostContext;
+use crate::log_reader::read_to_tail;
+
+const EDIT_TIMEOUT_MS: u64 = 8_000;
+const APPEND_RETRY_MS: u64 = 200;
+const CHECK_INTERVAL_MS: u64 = 15;
+
+/// Appends the edit and waits for its acceptance.
+pub(crate) async fn submit_edit(
+    context: &HostContext,
+    call: EditCall,
+) -> Result<EditAnswer, EditFailure> {
+    let asked_at = ClockTime::now();
+    let record = record_of(context, call)?;
+    let id = record.id;
+    let record = FleetRecord::Edit(record);
+    let outcome = append_until_folded(context, id, &record, asked_at).await?;
+    if let Some(error) = outcome.refused {
+        return Err(refused(error));
+    }
+    wait_accepted(context, outcome.offset, asked_at).await?;
+    Ok(EditAnswer {
+        offset: outcome.offset,
+        accepted_after_ms: ClockTime::now().since(asked_at),
+    })
+}
+
+fn record_of(context: &HostContext, call: EditCall) -> Result<EditRecord, EditFailure> {
+    let id = u128::from_str_radix(&call.id, 16)
+        .map_err(|_| refused(format!("edit number \"{}\" is not hexadecimal", call.id)))?;
+    let change = ConfigChange::try_from(call.change).map_err(|error| refused(error.to_string()))?;
+    let base = match call.base {
+        Some(base) => base,
+        None => context.state.borrow().fold.config().revision_of(&change),
+    };
+    Ok(EditRecord {
+        id: EditId(id),
+        base,
+        author: call.author,
+        change,
+    })
+}
+
+async fn append_until_folded(
+    context: &HostContext,
+    id: EditId,
+    record: &FleetRecord,
+    asked_at: ClockTime,
+) -> Result<EditOutcome, EditFailure> {
+    let mut was_sent = false;
+    loop {
+        if let Some(outcome) = folded_outcome(context, id) {
+            return Ok(outcome);
+        }
+        if ClockTime::now().since(asked_at) >= EDIT_TIMEOUT_MS {
+            return Err(unconfirmed(was_sent));
+        }
+        was_sent = true;
+        let appended = context.append(record).await;
+        let read = read_to_tail(context, &mut context.log_client()).await;
+        if appended.is_err() || read.is_err() {
+            context.metrics.log_failures.inc();
+            sleep(Duration::from_millis(APPEND_RETRY_MS)).await;
+        }
+    }
+}
+
+fn folded_outcome(context: &HostContext, id: EditId) -> Option<EditOutcome> {
+    context.state.borrow().fold.outcome(id).cloned()
+}
+
+async fn wait_accepted(
+    context: &HostContext,
+    offset: u64,
+    asked_at: ClockTime,
+) -> Result<(), EditFailure> {
+    loop {
+        let now = ClockTime::now();
+        let accepted = {
+            let mut state = context.state.borrow_mut();
+            state.hurry(now);
+            state.settle(now);
+            state.acceptance.accepted()
+        };
+        if accepted > offset {
+            return Ok(());
+        }
+        if now.since(asked_at) >= EDIT_TIMEOUT_MS {
+            return Err(unconfirmed(true));
+        }
+        sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
+    }
+}
+
+fn refused(error: impl Into<CompactString>) -> EditFailure {
+    EditFailure {
+        error: error.into(),
+        may_take_effect: false,
+    }
+}
+
+fn unconfirmed(may_take_effect: bool) -> EditFailure {
+    EditFailure {
+        error: "the edit was not confirmed in time; send it again with the same number".into(),
+        may_take_effect,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/host_daemon.rs
@@ -0,0 +1,101 @@
+//! Runs one host of the fleet.
+
+use std::rc::Rc;
+
+use displaydoc::Display;
+use slog::Logger;
+use slog::info;
+
+use crocushoist_transport::TransportError;
+use crocushoist_transport::listen_on;
+use crocushoist_transport::serve_http;
+use crocushoist_transport::serve_peers;
+
+use crate::admin_server::answer_admin;
+use crate::admission::send_closed_grants;
+use crate::host_context::HostContext;
+use crate::host_context::SharedContext;
+use crate::host_list_reader::read_host_list;
+use crate::host_settings::HostSettings;
+use crate::log_reader::read_log;
+use crate::peer_server::PeerServer;
+use crate::peer_tasks::supervise_peers;
+use crate::planned_stop::stop_host;
+use crate::request_path::answer_request;
+use crate::shard_keeper::keep_shards;
+use crate::snapshot_writer::write_snapshots;
+
+const SIGTERM: i32 = 15;
+const TIMER_THREADS: usize = 1;
+
+/// Error that ends the daemon.
+#[derive(Debug, Display)]
+pub enum DaemonError {
+    /// the runtime cannot start: {0}
+    Runtime(std::io::Error),
+    /// {0}
+    Transport(TransportError),
+    /// the stop signal cannot be awaited: {0}
+    Signal(std::io::Error),
+}
+
+impl std::error::Error for DaemonError {}
+
+impl From<TransportError> for DaemonError {
+    fn from(error: TransportError) -> Self {
+        DaemonError::Transport(error)
+    }
+}
+
+/// Runs the host until it is asked to stop.
+pub fn run_host(settings: HostSettings, logger: Logger) -> Result<(), DaemonError> {
+    let timers = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(TIMER_THREADS)
+        .enable_time()
+        .build()
+        .map_err(DaemonError::Runtime)?;
+    let _timers = timers.enter();
+    let runtime = compio::runtime::Runtime::new().map_err(DaemonError::Runtime)?;
+    runtime.block_on(serve(settings, logger))
+}
+
+async fn serve(settings: HostSettings, logger: Logger) -> Result<(), DaemonError> {
+    let callers = listen_on(settings.listen_callers).await?;
+    let peers = listen_on(settings.listen_peers).await?;
+    let admin = listen_on(settings.admin).await?;
+    let context: SharedContext = Rc::new(HostContext::new(settings, logger));
+    let incarnation = context.state.borrow().own.incarnation.0;
+    info!(context.logger, "started";
+        "callers" => context.settings.callers.to_string(),
+        "data_centre" => context.settings.data_centre.to_string(),
+        "incarnation" => format!("{incarnation:016x}"));
+    let server = PeerServer::new(Rc::clone(&context));
+    spawn(serve_peers(peers, context.meter.clone(), server));
+    spawn(read_host_list(Rc::clone(&context)));
+    spawn(supervise_peers(Rc::clone(&context)));
+    spawn(read_log(Rc::clone(&context)));
+    spawn(keep_shards(Rc::clone(&context)));
+    spawn(write_snapshots(Rc::clone(&context)));
+    spawn(send_closed_grants(Rc::clone(&context)));
+    let for_admin = Rc::clone(&context);
+    spawn(serve_http(
+        admin,
+        Default::default(),
+        move |address, request| answer_admin(Rc::clone(&for_admin), address, request),
+    ));
+    let for_callers = Rc::clone(&context);
+    spawn(serve_http(
+        callers,
+        context.stop.clone(),
+        move |address, request| answer_request(Rc::clone(&for_callers), address, request),
+    ));
+    compio::signal::unix::signal(SIGTERM)
+        .await
+        .map_err(DaemonError::Signal)?;
+    stop_host(&context).await;
+    Ok(())
+}
+
+fn spawn(task: impl Future<Output = ()> + 'static) {
+    compio::runtime::spawn(task).detach();
+}
--- /dev/null
+++ b/crates/daemon/src/host_state.rs
@@ -0,0 +1,196 @@
+//! Everything that one host knows, and the steps that change it.
+//!
+//! The tasks of the daemon share one `HostState`. A task borrows it for a
+//! step and never across an await, so that each step sees and leaves a
+//! consistent state.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crocushoist_coordination::AcceptanceTracker;
+use crocushoist_coordination::DryShares;
+use crocushoist_coordination::FreshnessTracker;
+use crocushoist_coordination::HolderWatch;
+use crocushoist_coordination::PeerDirectory;
+use crocushoist_coordination::RecordFold;
+use crocushoist_coordination::RecordTail;
+use crocushoist_coordination::ShareLedger;
+use crocushoist_protocol::ClosedGrant;
+use crocushoist_protocol::ListedHost;
+use crocushoist_protocol::PeerServiceClient;
+use crocushoist_protocol::decode_record;
+use crocushoist_state::ClockTime;
+use crocushoist_state::HostAddress;
+use crocushoist_state::IncarnationId;
+use crocushoist_state::InstancePool;
+use crocushoist_state::ShardHolder;
+use crocushoist_state::SharePlan;
+use crocushoist_state::WorkspaceId;
+
+use crate::peer_roles::PeerRoles;
+
+/// Silence after which a host is no longer named to callers.
+pub const ALIVE_MS: u64 = 2_500;
+
+const ACCEPTANCE_WAIT_MS: u64 = 1_000;
+
+/// Everything that one host knows.
+pub struct HostState {
+    /// This incarnation.
+    pub own: ShardHolder,
+    /// Fold of the log.
+    pub fold: RecordFold,
+    /// Newest records, for peers.
+    pub tail: RecordTail,
+    /// Which records are accepted.
+    pub acceptance: AcceptanceTracker,
+    /// Age of the evidence.
+    pub freshness: FreshnessTracker,
+    /// Buckets of the held shards.
+    pub ledger: ShareLedger,
+    /// What was heard from peers.
+    pub directory: PeerDirectory,
+    /// Suspicions about holders.
+    pub watch: HolderWatch,
+    /// Shares that need not be asked.
+    pub dry: DryShares,
+    /// Instances of the services.
+    pub pool: InstancePool,
+    /// Entry hosts that the platform lists.
+    pub listed: Vec<ListedHost>,
+    /// Calls to the peers that are connected.
+    pub links: HashMap<SocketAddr, PeerServiceClient>,
+    /// Grants of other hosts that were closed here, by holder.
+    pub closed: HashMap<SocketAddr, Vec<ClosedGrant>>,
+    /// What this host does for and asks of its peers.
+    pub roles: PeerRoles,
+    /// Number of times the fold was replaced; workspace ids hold within one epoch.
+    pub epoch: u64,
+    /// Whether the host is stopping.
+    pub stopping: bool,
+    /// Records that could not be decoded.
+    pub unreadable: u64,
+    hurry_until: ClockTime,
+}
+
+impl HostState {
+    /// State of a host that just started.
+    pub fn new(own: ShardHolder, shard_count: u32) -> Self {
+        HostState {
+            ledger: ShareLedger::new(own.incarnation),
+            own,
+            fold: RecordFold::new(shard_count),
+            tail: RecordTail::default(),
+            acceptance: AcceptanceTracker::default(),
+            freshness: FreshnessTracker::default(),
+            directory: PeerDirectory::default(),
+            watch: HolderWatch::default(),
+            dry: DryShares::default(),
+            pool: InstancePool::default(),
+            listed: Vec::new(),
+            links: HashMap::new(),
+            closed: HashMap::new(),
+            roles: PeerRoles::default(),
+            epoch: 0,
+            stopping: false,
+            unreadable: 0,
+            hurry_until: ClockTime::default(),
+        }
+    }
+
+    /// Folds encoded records that start at offset `first`.
+    pub fn absorb(&mut self, first: u64, records: Vec<Vec<u8>>, now: ClockTime) {
+        for (index, bytes) in records.into_iter().enumerate() {
+            let offset = first + index as u64;
+            if offset < self.fold.next_offset() {
+                continue;
+            }
+            let record = decode_record(&bytes).ok();
+            self.unreadable += u64::from(record.is_none());
+            match self.fold.apply(offset, record.as_ref()) {
+                Ok(Some(before)) => self.acceptance.note_change(offset, before),
+                Ok(None) => {}
+                Err(_) => return,
+            }
+            self.tail.push(bytes);
+        }
+        self.settle(now);
+    }
+
+    /// Continues with a later fold, as a host that fell behind must.
+    ///
+    /// Every record below `accepted` is known to be accepted.
+    pub fn replace_fold(&mut self, later: RecordFold, accepted: u64, now: ClockTime) {
+        if later.next_offset() < self.fold.next_offset() {
+            return;
+        }
+        self.tail = RecordTail::starting_at(later.next_offset());
+        self.fold.replace(later);
+        self.epoch += 1;
+        self.acceptance = AcceptanceTracker::starting_at(self.fold.next_offset());
+        self.acceptance.note_accepted(accepted);
+        self.ledger.restart(now);
+        self.dry.clear();
+        self.settle(now);
+    }
+
+    /// Recomputes what follows from the fold and from what peers said.
+    pub fn settle(&mut self, now: ClockTime) {
+        let own = self.own.incarnation;
+        let next_offset = self.fold.next_offset();
+        self.acceptance.note_folded(own, next_offset);
+        let accepted = self.acceptance.advance(self.fold.table(), next_offset);
+        self.freshness
+            .weigh_majority(self.fold.table(), own, next_offset, now);
+        self.ledger.reconcile(self.fold.table(), accepted, now);
+    }
+
+    /// Whether keyed requests may be admitted.
+    pub fn is_fresh(&self, now: ClockTime) -> bool {
+        self.freshness.is_fresh(now)
+    }
+
+    /// Shares of `workspace`.
+    pub fn plan_of(&self, workspace: WorkspaceId) -> SharePlan {
+        let config = self.fold.config();
+        let name = &config.workspace(workspace).name;
+        SharePlan::new(name, config.limit_of(workspace), self.fold.table().count())
+    }
+
+    /// Asks peers more often for a while, because something waits for acceptance.
+    pub fn hurry(&mut self, now: ClockTime) {
+        self.hurry_until = now.plus(ACCEPTANCE_WAIT_MS);
+    }
+
+    /// Whether something waits for acceptance.
+    pub fn is_hurrying(&self, now: ClockTime) -> bool {
+        now < self.hurry_until
+    }
+
+    /// Hosts that callers can be told, this one included unless it is stopping.
+    pub fn alive_hosts(&self, now: ClockTime) -> Vec<HostAddress> {
+        let mut hosts: Vec<HostAddress> = self
+            .directory
+            .alive(now, ALIVE_MS)
+            .map(|(_, peer)| peer.address.clone())
+            .collect();
+        if !self.stopping {
+            hosts.push(self.own.address.clone());
+        }
+        hosts
+    }
+
+    /// Incarnations that take part, this one included unless it is stopping.
+    pub fn alive_incarnations(&self, now: ClockTime) -> Vec<IncarnationId> {
+        let mut alive: Vec<IncarnationId> = self
+            .directory
+            .alive(now, ALIVE_MS)
+            .map(|(incarnation, _)| incarnation)
+            .collect();
+        if !self.stopping {
+            alive.push(self.own.incarnation);
+        }
+        alive.sort_unstable();
+        alive
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,31 @@
+//! The daemon of the fleet.
+//!
+//! One process a host, one thread a process. Tasks, one for each connection
+//! and each peer, share a [`host_context::HostContext`]; decisions are made by
+//! the structs of the lower layers, which the tasks call with the clock.
+
+pub mod admission;
+pub mod host_context;
+pub mod host_daemon;
+pub mod host_metrics;
+pub mod host_settings;
+pub mod host_state;
+pub mod key_scrubber;
+pub mod peer_roles;
+pub mod refusal;
+pub mod request_path;
+pub mod retry_budget;
+pub mod settings_error;
+
+mod address_desk;
+mod admin_server;
+mod edit_desk;
+mod forwarding;
+mod hand_over;
+mod host_list_reader;
+mod log_reader;
+mod peer_server;
+mod peer_tasks;
+mod planned_stop;
+mod shard_keeper;
+mod snapshot_writer;
--- /dev/null
+++ b/crates/daemon/src/peer_tasks.rs
@@ -0,0 +1,182 @@
+//! Asks the peers, one task for each.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use compio::time::sleep;
+use slog::warn;
+
+use crocushoist_coordination::PeerState;
+use crocushoist_protocol::PullAnswer;
+use crocushoist_protocol::PullRequest;
+use crocushoist_protocol::WireHolder;
+use crocushoist_protocol::decode_snapshot;
+use crocushoist_state::ClockTime;
+use crocushoist_state::ShardHolder;
+use crocushoist_transport::PeerLink;
+
+use crate::host_context::HostContext;
+use crate::host_context::SharedContext;
+use crate::peer_roles::PeerRoles;
+
+const CONNECT_MS: u64 = 300;
+const PULL_MS: u64 = 400;
+const SNAPSHOT_MS: u64 = 5_000;
+const ROLE_INTERVAL_MS: u64 = 200;
+const TICK_MS: u64 = 100;
+const HURRIED_TICK_MS: u64 = 25;
+const RECONNECT_MS: u64 = 250;
+
+type RunningPeers = Rc<RefCell<HashSet<SocketAddr>>>;
+
+/// Keeps one task for each peer and refreshes the roles, for as long as the process runs.
+pub(crate) async fn supervise_peers(context: SharedContext) {
+    let running = RunningPeers::default();
+    loop {
+        let now = ClockTime::now();
+        let linked = refresh_roles(&context, now);
+        for address in linked {
+            if running.borrow_mut().insert(address) {
+                let task = follow_peer(Rc::clone(&context), address, Rc::clone(&running));
+                compio::runtime::spawn(task).detach();
+            }
+        }
+        context.log_changes();
+        sleep(Duration::from_millis(ROLE_INTERVAL_MS)).await;
+    }
+}
+
+fn refresh_roles(context: &HostContext, now: ClockTime) -> HashSet<SocketAddr> {
+    let mut state = context.state.borrow_mut();
+    state.directory.expire(now);
+    state.settle(now);
+    state.roles = PeerRoles::new(&state, now);
+    state.roles.linked.clone()
+}
+
+/// Asks the peer at `address` until it is no longer linked.
+async fn follow_peer(context: SharedContext, address: SocketAddr, running: RunningPeers) {
+    while context.state.borrow().roles.linked.contains(&address) {
+        let link =
+            PeerLink::connect(context.source(), address, CONNECT_MS, context.meter.clone()).await;
+        match link {
+            Ok(link) => {
+                context
+                    .state
+                    .borrow_mut()
+                    .links
+                    .insert(address, link.client());
+                ask_until_failure(&context, address, &link).await;
+                context.state.borrow_mut().links.remove(&address);
+            }
+            Err(_) => {
+                context.metrics.pull_failures.inc();
+            }
+        }
+        sleep(Duration::from_millis(RECONNECT_MS)).await;
+    }
+    running.borrow_mut().remove(&address);
+}
+
+async fn ask_until_failure(context: &HostContext, address: SocketAddr, link: &PeerLink) {
+    let mut asked_at: Option<ClockTime> = None;
+    loop {
+        let now = ClockTime::now();
+        let (interval, hurried, linked) = {
+            let state = context.state.borrow();
+            let hurried = state.is_hurrying(now);
+            let interval = state.roles.pull_interval(address, hurried);
+            (interval, hurried, state.roles.linked.contains(&address))
+        };
+        if !linked {
+            return;
+        }
+        let waited = asked_at.map_or(u64::MAX, |asked_at| now.since(asked_at));
+        if waited < interval {
+            let tick = if hurried { HURRIED_TICK_MS } else { TICK_MS };
+            sleep(Duration::from_millis(tick.min(interval - waited))).await;
+            continue;
+        }
+        asked_at = Some(now);
+        if !pull(context, link).await {
+            context.metrics.pull_failures.inc();
+            return;
+        }
+    }
+}
+
+/// Asks once; whether the peer answered.
+async fn pull(context: &HostContext, link: &PeerLink) -> bool {
+    let request = {
+        let state = context.state.borrow();
+        PullRequest {
+            asker: WireHolder::from(&state.own),
+            next_offset: state.fold.next_offset(),
+            leaving: state.stopping,
+        }
+    };
+    let asked_from = request.next_offset;
+    let asked_at = ClockTime::now();
+    let Ok(answer) = link
+        .client()
+        .pull(PeerLink::context(PULL_MS), request)
+        .await
+    else {
+        return false;
+    };
+    if answer.shard_count != context.settings.shard_count {
+        warn!(context.logger, "peer folds with another number of shards";
+            "peer" => answer.host.peers.to_string(), "shards" => answer.shard_count);
+        return false;
+    }
+    if answer.records.is_none() && answer.next_offset > asked_from {
+        fetch_snapshot(context, link).await;
+    }
+    take_answer(context, asked_from, asked_at, answer);
+    true
+}
+
+fn take_answer(context: &HostContext, asked_from: u64, asked_at: ClockTime, answer: PullAnswer) {
+    let now = ClockTime::now();
+    let peer = ShardHolder::from(answer.host);
+    let mut state = context.state.borrow_mut();
+    state.absorb(asked_from, answer.records.unwrap_or_default(), now);
+    state
+        .acceptance
+        .note_folded(peer.incarnation, answer.next_offset);
+    state.acceptance.note_accepted(answer.accepted);
+    state
+        .freshness
+        .note_answer(peer.incarnation, asked_at, answer.next_offset);
+    if let Some(age) = answer.evidence_age
+        && state.fold.next_offset() >= answer.next_offset
+    {
+        state.freshness.note_peer_evidence(asked_at, age);
+    }
+    let heard = PeerState {
+        address: peer.address,
+        heard_at: asked_at,
+        next_offset: answer.next_offset,
+        leaving: answer.leaving,
+    };
+    state.directory.note(peer.incarnation, heard);
+    state.settle(now);
+}
+
+/// Continues from a peer's fold, because the peer no longer keeps the records asked for.
+async fn fetch_snapshot(context: &HostContext, link: &PeerLink) {
+    let Ok(answer) = link.client().snapshot(PeerLink::context(SNAPSHOT_MS)).await else {
+        return;
+    };
+    let Ok(fold) = decode_snapshot(&answer.bytes) else {
+        context.metrics.pull_failures.inc();
+        return;
+    };
+    if fold.table().count() == context.settings.shard_count {
+        let mut state = context.state.borrow_mut();
+        state.replace_fold(fold, answer.accepted, ClockTime::now());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/snapshot_writer.rs
@@ -0,0 +1,64 @@
+//! Writes snapshots of the fold to the log before records expire.
+//!
+//! The holder of the first shard writes. Writing one twice is harmless, so a
+//! change of holder needs no care. Only a fold whose every record is accepted
+//! is written.
+
+use std::time::Duration;
+
+use compio::time::sleep;
+
+use crocushoist_coordination::FleetRecord;
+use crocushoist_protocol::encode_snapshot;
+use crocushoist_protocol::split_snapshot;
+use crocushoist_state::ClockTime;
+use crocushoist_state::ShardId;
+
+use crate::host_context::HostContext;
+use crate::host_context::SharedContext;
+
+const CHECK_INTERVAL_MS: u64 = 250;
+const WRITER_SHARD: u32 = 0;
+
+/// Writes snapshots while this host holds the first shard.
+pub(crate) async fn write_snapshots(context: SharedContext) {
+    let mut newest = (0, ClockTime::now());
+    loop {
+        sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
+        let now = ClockTime::now();
+        let as_of = context.state.borrow().fold.newest_snapshot();
+        if as_of != newest.0 {
+            newest = (as_of, now);
+        }
+        if is_due(&context, newest.1, now) && write(&context).await {
+            newest.1 = now;
+        }
+    }
+}
+
+fn is_due(context: &HostContext, written_at: ClockTime, now: ClockTime) -> bool {
+    let state = context.state.borrow();
+    let next = state.fold.next_offset();
+    let behind = next - state.fold.newest_snapshot();
+    let by_time = now.since(written_at) >= context.settings.snapshot_millis && next > 0;
+    state.ledger.is_active(ShardId::from_u32(WRITER_SHARD))
+        && state.is_fresh(now)
+        && state.acceptance.accepted() >= next
+        && (by_time || behind >= context.settings.snapshot_records)
+}
+
+/// Writes one snapshot; whether all its parts were appended.
+async fn write(context: &HostContext) -> bool {
+    let (as_of, bytes) = {
+        let state = context.state.borrow();
+        (state.fold.next_offset(), encode_snapshot(&state.fold))
+    };
+    for part in split_snapshot(as_of, &bytes) {
+        if context.append(&FleetRecord::Snapshot(part)).await.is_err() {
+            context.metrics.log_failures.inc();
+            return false;
+        }
+    }
+    context.metrics.snapshots.inc();
+    true
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,60 @@
+//! Messages to callers, operators, the platform and between hosts.
+//!
+//! Wire types are of their own and turn into the types of the lower layers by
+//! `From` and `TryFrom`; nothing below this layer is serialised. Records of
+//! the log and messages between hosts are encoded compactly, messages to the
+//! outside are JSON.
+
+pub mod headers;
+
+mod address_answer;
+mod edit_call;
+mod host_listing;
+mod log_page;
+mod peer_service;
+mod protocol_error;
+mod refusal_reason;
+mod snapshot_codec;
+mod status_report;
+mod wire_change;
+mod wire_holder;
+mod wire_record;
+mod wire_snapshot;
+
+pub use address_answer::AddressAnswer;
+pub use edit_call::EditAnswer;
+pub use edit_call::EditCall;
+pub use edit_call::EditFailure;
+pub use host_listing::HostListing;
+pub use host_listing::ListedHost;
+pub use host_listing::ListedState;
+pub use log_page::AppendAnswer;
+pub use log_page::LogPage;
+pub use peer_service::ClosedGrant;
+pub use peer_service::DrawAnswer;
+pub use peer_service::DrawRequest;
+pub use peer_service::OfferRequest;
+pub use peer_service::OfferedAmounts;
+pub use peer_service::PeerService;
+pub use peer_service::PeerServiceClient;
+pub use peer_service::PullAnswer;
+pub use peer_service::PullRequest;
+pub use peer_service::SnapshotAnswer;
+pub use protocol_error::ProtocolError;
+pub use refusal_reason::RefusalReason;
+pub use snapshot_codec::decode_snapshot;
+pub use snapshot_codec::encode_snapshot;
+pub use snapshot_codec::join_snapshot;
+pub use snapshot_codec::split_snapshot;
+pub use status_report::ConfigReport;
+pub use status_report::ExceptionReport;
+pub use status_report::HostReport;
+pub use status_report::InstanceReport;
+pub use status_report::ReasonCount;
+pub use status_report::ShardReport;
+pub use status_report::StatusReport;
+pub use wire_change::WireChange;
+pub use wire_change::WireScope;
+pub use wire_holder::WireHolder;
+pub use wire_record::decode_record;
+pub use wire_record::encode_record;
--- /dev/null
+++ b/crates/protocol/src/peer_service.rs
@@ -0,0 +1,126 @@
+//! Calls between hosts.
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::WireHolder;
+
+/// Asks a peer what it has folded.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PullRequest {
+    /// The asker.
+    pub asker: WireHolder,
+    /// Offset that the asker has folded up to.
+    pub next_offset: u64,
+    /// Whether the asker is about to stop.
+    pub leaving: bool,
+}
+
+/// What a peer has folded.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PullAnswer {
+    /// The peer.
+    pub host: WireHolder,
+    /// Number of shards that the peer folds with.
+    pub shard_count: u32,
+    /// Offset that the peer has folded up to.
+    pub next_offset: u64,
+    /// Offset below which the peer knows every record to be accepted.
+    pub accepted: u64,
+    /// Age of the peer's evidence in milliseconds.
+    pub evidence_age: Option<u64>,
+    /// Encoded records from the asker's offset on, `None` if the peer no longer keeps them.
+    pub records: Option<Vec<Vec<u8>>>,
+    /// Whether the peer is about to stop.
+    pub leaving: bool,
+}
+
+/// Snapshot of a peer's fold.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SnapshotAnswer {
+    /// Offset below which the peer knows every record to be accepted.
+    pub accepted: u64,
+    /// Encoded snapshot.
+    pub bytes: Vec<u8>,
+}
+
+/// Asks a holder for a token.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct DrawRequest {
+    /// Shard of the share.
+    pub shard: u32,
+    /// Workspace of the share.
+    pub workspace: CompactString,
+}
+
+/// A holder's answer to a draw.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DrawAnswer {
+    /// The token is debited and may be spent for its life.
+    Granted {
+        /// Number of the grant.
+        grant: u64,
+    },
+    /// The share has none.
+    Empty {
+        /// Milliseconds until one accrues.
+        wait_millis: u64,
+    },
+    /// The peer cannot spend from the shard now.
+    NotActive,
+}
+
+/// Tells a holder what became of a grant.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClosedGrant {
+    /// Shard of the share.
+    pub shard: u32,
+    /// Workspace of the share.
+    pub workspace: CompactString,
+    /// Number of the grant.
+    pub grant: u64,
+    /// Whether the token was spent.
+    pub spent: bool,
+}
+
+/// Amounts of one bucket that changes hands, in millionths of a token.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OfferedAmounts {
+    /// Workspace of the bucket.
+    pub workspace: CompactString,
+    /// Tokens that may be spent.
+    pub level: u64,
+    /// Granted tokens that may still be spent.
+    pub open: u64,
+}
+
+/// Offers a shard to its next holder.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OfferRequest {
+    /// Shard that changes hands.
+    pub shard: u32,
+    /// Generation that the shard has once it has changed hands.
+    pub generation: u32,
+    /// Offset that the earlier holder has folded up to.
+    pub next_offset: u64,
+    /// Amounts of its buckets.
+    pub amounts: Vec<OfferedAmounts>,
+}
+
+/// Calls that each host answers to its peers.
+#[tarpc::service]
+pub trait PeerService {
+    /// Tells what this host has folded.
+    async fn pull(request: PullRequest) -> PullAnswer;
+    /// Gives a snapshot of the fold.
+    async fn snapshot() -> SnapshotAnswer;
+    /// Debits a token of a share held here.
+    async fn draw(request: DrawRequest) -> DrawAnswer;
+    /// Closes grants of shares held here.
+    async fn close(grants: Vec<ClosedGrant>);
+    /// Takes over a shard; whether it will.
+    async fn offer(request: OfferRequest) -> bool;
+    /// Milliseconds since `incarnation` last answered this host, `None` if it never did.
+    async fn silence(incarnation: u64) -> Option<u64>;
+}
--- /dev/null
+++ b/crates/protocol/src/protocol_error.rs
@@ -0,0 +1,51 @@
+//! Errors of the protocol layer.
+
+use compact_str::CompactString;
+use displaydoc::Display;
+
+use crocushoist_coordination::FoldError;
+use crocushoist_state::ConfigError;
+
+/// Error of the protocol layer.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum ProtocolError {
+    /// message cannot be decoded: {0}
+    Decode(CompactString),
+    /// record has version {found}, this host reads version {known}
+    Version {
+        /// Version found.
+        found: u8,
+        /// Version known.
+        known: u8,
+    },
+    /// message carries an invalid value: {0}
+    Config(ConfigError),
+    /// message contradicts the log: {0}
+    Fold(FoldError),
+}
+
+impl std::error::Error for ProtocolError {}
+
+impl From<ConfigError> for ProtocolError {
+    fn from(error: ConfigError) -> Self {
+        ProtocolError::Config(error)
+    }
+}
+
+impl From<FoldError> for ProtocolError {
+    fn from(error: FoldError) -> Self {
+        ProtocolError::Fold(error)
+    }
+}
+
+impl From<postcard::Error> for ProtocolError {
+    fn from(error: postcard::Error) -> Self {
+        ProtocolError::Decode(error.to_string().into())
+    }
+}
+
+impl From<serde_json::Error> for ProtocolError {
+    fn from(error: serde_json::Error) -> Self {
+        ProtocolError::Decode(error.to_string().into())
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/refusal_reason.rs
@@ -0,0 +1,121 @@
+//! Why a request is refused.
+
+/// Reason that a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum RefusalReason {
+    /// The request carries no key and the route is not open.
+    KeyMissing,
+    /// The key is not granted.
+    KeyUnknown,
+    /// The request carries two different keys, or one in its path.
+    KeyMisplaced,
+    /// No route matches.
+    NoRoute,
+    /// The workspace has spent its rate and burst.
+    OverRate,
+    /// No holder of the workspace's shares could be reached.
+    SharesUnreachable,
+    /// This host's evidence is too old.
+    Stale,
+    /// This host is stopping.
+    Stopping,
+    /// No instance of the service has a free slot.
+    NoInstance,
+    /// The instance shed the request.
+    Shed,
+    /// The instance could not be connected to.
+    ConnectFailed,
+    /// The instance failed after the request was written.
+    UpstreamFailed,
+    /// The deadline passed after the request was written.
+    DeadlinePassed,
+    /// The token expired before the request could be written.
+    TokenExpired,
+    /// The request cannot be read.
+    Malformed,
+}
+
+impl RefusalReason {
+    /// Every reason.
+    pub const ALL: [RefusalReason; 15] = [
+        RefusalReason::KeyMissing,
+        RefusalReason::KeyUnknown,
+        RefusalReason::KeyMisplaced,
+        RefusalReason::NoRoute,
+        RefusalReason::OverRate,
+        RefusalReason::SharesUnreachable,
+        RefusalReason::Stale,
+        RefusalReason::Stopping,
+        RefusalReason::NoInstance,
+        RefusalReason::Shed,
+        RefusalReason::ConnectFailed,
+        RefusalReason::UpstreamFailed,
+        RefusalReason::DeadlinePassed,
+        RefusalReason::TokenExpired,
+        RefusalReason::Malformed,
+    ];
+
+    /// Name in headers, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::KeyMissing => "key_missing",
+            RefusalReason::KeyUnknown => "key_unknown",
+            RefusalReason::KeyMisplaced => "key_misplaced",
+            RefusalReason::NoRoute => "no_route",
+            RefusalReason::OverRate => "over_rate",
+            RefusalReason::SharesUnreachable => "shares_unreachable",
+            RefusalReason::Stale => "stale",
+            RefusalReason::Stopping => "stopping",
+            RefusalReason::NoInstance => "no_instance",
+            RefusalReason::Shed => "shed",
+            RefusalReason::ConnectFailed => "connect_failed",
+            RefusalReason::UpstreamFailed => "upstream_failed",
+            RefusalReason::DeadlinePassed => "deadline_passed",
+            RefusalReason::TokenExpired => "token_expired",
+            RefusalReason::Malformed => "malformed",
+        }
+    }
+
+    /// HTTP status of the refusal.
+    pub fn status(self) -> u16 {
+        match self {
+            RefusalReason::KeyMissing | RefusalReason::KeyUnknown => 401,
+            RefusalReason::KeyMisplaced | RefusalReason::Malformed => 400,
+            RefusalReason::NoRoute => 404,
+            RefusalReason::OverRate => 429,
+            RefusalReason::UpstreamFailed => 502,
+            RefusalReason::DeadlinePassed => 504,
+            RefusalReason::SharesUnreachable
+            | RefusalReason::Stale
+            | RefusalReason::Stopping
+            | RefusalReason::NoInstance
+            | RefusalReason::Shed
+            | RefusalReason::ConnectFailed
+            | RefusalReason::TokenExpired => 503,
+        }
+    }
+
+    /// Whether the request may have run.
+    pub fn may_have_run(self) -> bool {
+        matches!(
+            self,
+            RefusalReason::UpstreamFailed | RefusalReason::DeadlinePassed
+        )
+    }
+
+    /// Whether coming back with the same request can help.
+    pub fn is_passing(self) -> bool {
+        matches!(self.status(), 429 | 502..=504)
+    }
+
+    /// Whether another host may answer the request.
+    pub fn is_local(self) -> bool {
+        matches!(
+            self,
+            RefusalReason::SharesUnreachable
+                | RefusalReason::Stale
+                | RefusalReason::Stopping
+                | RefusalReason::TokenExpired
+        )
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,28 @@
+//! Small stand-ins for the systems that the fleet meets.
+//!
+//! The platform's log and host list, the instances of the services and a
+//! relay that can drop one direction of chosen connections. Each is switched
+//! while it runs through a control path of its own HTTP server.
+
+mod control_body;
+mod fault_script;
+mod host_list_server;
+mod instance_server;
+mod log_server;
+mod relay_server;
+mod run_ledger;
+mod scripted_body;
+
+pub use fault_script::FaultScript;
+pub use host_list_server::HostListScript;
+pub use host_list_server::serve_host_list;
+pub use instance_server::InstanceGroup;
+pub use instance_server::serve_instances;
+pub use log_server::LogScript;
+pub use log_server::LogStats;
+pub use log_server::serve_log;
+pub use relay_server::CutRule;
+pub use relay_server::RelayMapping;
+pub use relay_server::RelayPlan;
+pub use relay_server::serve_relay;
+pub use run_ledger::RunEntry;
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,57 @@
+//! Flat state and the decisions made on it.
+//!
+//! The lowest layer. Nothing here performs I/O or reads a clock by itself:
+//! every function that depends on time takes a [`ClockTime`]. Entities are
+//! named by small `Copy` keys into arenas, so that state is cheap to copy and
+//! compare.
+//!
+//! Invariants that must hold in every build are reported through [`breach`].
+
+pub mod breach;
+
+mod clock_time;
+mod config_change;
+mod config_error;
+mod exception_scope;
+mod fleet_config;
+mod instance_pool;
+mod key_digest;
+mod route_table;
+mod setting_name;
+mod shard_holder;
+mod shard_table;
+mod share_plan;
+mod token_bucket;
+
+pub use clock_time::ClockTime;
+pub use config_change::ConfigChange;
+pub use config_error::ConfigError;
+pub use exception_scope::ExceptionScope;
+pub use fleet_config::ExceptionEntry;
+pub use fleet_config::FleetConfig;
+pub use fleet_config::ServiceEntry;
+pub use fleet_config::ServiceId;
+pub use fleet_config::WorkspaceEntry;
+pub use fleet_config::WorkspaceId;
+pub use fleet_config::WorkspaceLimit;
+pub use instance_pool::InstanceId;
+pub use instance_pool::InstancePool;
+pub use instance_pool::InstanceState;
+pub use key_digest::KEY_LENGTH;
+pub use key_digest::KEY_PREFIX;
+pub use key_digest::KeyDigest;
+pub use route_table::RouteAccess;
+pub use route_table::RouteEntry;
+pub use route_table::RouteTable;
+pub use setting_name::SettingName;
+pub use shard_holder::HostAddress;
+pub use shard_holder::IncarnationId;
+pub use shard_holder::ShardHolder;
+pub use shard_table::ShardEntry;
+pub use shard_table::ShardId;
+pub use shard_table::ShardTable;
+pub use share_plan::ShareLimit;
+pub use share_plan::SharePlan;
+pub use token_bucket::GrantId;
+pub use token_bucket::TOKEN_MICROS;
+pub use token_bucket::TokenBucket;
--- /dev/null
+++ b/crates/transport/src/http_server.rs
@@ -0,0 +1,78 @@
+//! Serves HTTP/1.1, one task for each connection.
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use compio::net::TcpStream;
+use cyper_core::CompioTimer;
+use cyper_core::HyperStream;
+use futures_util::future::Either;
+use futures_util::future::select;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+
+use crate::StopSignal;
+
+/// Answers the requests of every accepted connection by `handler` until `stop` is raised.
+///
+/// Connections that are open then finish the request that they are in.
+pub async fn serve_http<H, F, B>(listener: TcpListener, stop: StopSignal, handler: H)
+where
+    H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let handler = Rc::new(handler);
+    loop {
+        let accepted = {
+            let accept = pin!(listener.accept());
+            match select(accept, stop.raised()).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => return,
+            }
+        };
+        let Ok((stream, address)) = accepted else {
+            continue;
+        };
+        let task = serve_connection(stream, address, stop.clone(), Rc::clone(&handler));
+        compio::runtime::spawn(task).detach();
+    }
+}
+
+async fn serve_connection<H, F, B>(
+    stream: TcpStream,
+    address: SocketAddr,
+    stop: StopSignal,
+    handler: Rc<H>,
+) where
+    H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let _open = stop.open();
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = Rc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler(address, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(CompioTimer)
+        .serve_connection(HyperStream::new_plain(stream), service);
+    let mut connection = pin!(connection);
+    if let Either::Right(_) = select(connection.as_mut(), stop.raised()).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/crates/transport/src/upstream_connection.rs
@@ -0,0 +1,84 @@
+//! One connection to an instance of a service.
+//!
+//! Dropping the connection closes it at once, which an instance may take as
+//! a cancellation. It is meant to be kept only after a whole answer.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+use compio::runtime::JoinHandle;
+use cyper_core::HyperStream;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+
+use crate::ForwardBody;
+use crate::TransportError;
+use crate::connect_from;
+
+/// Why an attempt failed.
+#[derive(Debug)]
+pub enum AttemptFailure {
+    /// No byte of the request left this host; it is given back.
+    NotWritten(Box<Request<ForwardBody>>),
+    /// Bytes of the request may have left this host.
+    MaybeWritten(TransportError),
+}
+
+/// One connection to an instance of a service.
+#[derive(Debug)]
+pub struct UpstreamConnection {
+    address: SocketAddr,
+    sender: http1::SendRequest<ForwardBody>,
+    _task: JoinHandle<()>,
+}
+
+impl UpstreamConnection {
+    /// Connects from `source` to `address` within `millis` milliseconds.
+    pub async fn connect(
+        source: Option<IpAddr>,
+        address: SocketAddr,
+        millis: u64,
+    ) -> Result<Self, TransportError> {
+        let stream = connect_from(source, address, millis).await?;
+        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+            .await
+            .map_err(|error| TransportError::Http { address, error })?;
+        let task = compio::runtime::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(UpstreamConnection {
+            address,
+            sender,
+            _task: task,
+        })
+    }
+
+    /// Address of the instance.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether the connection can take a request.
+    pub fn is_usable(&self) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed()
+    }
+
+    /// Sends `request` and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        request: Request<ForwardBody>,
+    ) -> Result<Response<Incoming>, AttemptFailure> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut failure) => match failure.take_message() {
+                Some(request) => Err(AttemptFailure::NotWritten(Box::new(request))),
+                None => Err(AttemptFailure::MaybeWritten(TransportError::Http {
+                    address: self.address,
+                    error: failure.into_error(),
+                })),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/src/fleet_plan.rs
@@ -0,0 +1,182 @@
+//! Addresses of a fleet on loopback.
+//!
+//! Every host has an IP number of its own, in a range chosen by the process,
+//! so that two trials on one machine do not meet.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+const CALLERS_PORT: u16 = 7_000;
+const PEERS_PORT: u16 = 7_001;
+const ADMIN_PORT: u16 = 7_002;
+const LISTEN_PEERS_PORT: u16 = 7_011;
+const PLATFORM_PORT: u16 = 8_000;
+const INSTANCE_PORT: u16 = 9_000;
+const FIRST_RANGE: u32 = 16;
+const RANGES: u32 = 200;
+const PLATFORM_NET: u8 = 200;
+const RELAY_NET: u8 = 201;
+const INSTANCE_NET: u8 = 210;
+
+/// Addresses of one host.
+#[derive(Clone, Debug)]
+pub struct HostPlan {
+    /// Index of its data centre.
+    pub data_centre: usize,
+    /// IP number.
+    pub ip: IpAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where other hosts connect, through the relay.
+    pub peers: SocketAddr,
+    /// Where it listens for other hosts.
+    pub listen_peers: SocketAddr,
+    /// Where operators connect.
+    pub admin: SocketAddr,
+}
+
+/// One instance.
+#[derive(Clone, Debug)]
+pub struct InstancePlan {
+    /// Name of its service.
+    pub service: &'static str,
+    /// Index of its data centre.
+    pub data_centre: usize,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Addresses of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Number of shards.
+    pub shard_count: u32,
+    /// Number of data centres.
+    pub data_centres: usize,
+    /// Entry hosts.
+    pub hosts: Vec<HostPlan>,
+    /// Instances.
+    pub instances: Vec<InstancePlan>,
+    /// Log, behind the relay.
+    pub log: SocketAddr,
+    /// Log, as the hosts reach it.
+    pub log_relay: SocketAddr,
+    /// Host list.
+    pub host_list: SocketAddr,
+    /// Control of the instances.
+    pub instance_control: SocketAddr,
+    /// Control of the relay.
+    pub relay_control: SocketAddr,
+    /// Records after which a snapshot is written.
+    pub snapshot_records: u64,
+    /// Milliseconds after which a snapshot is written.
+    pub snapshot_millis: u64,
+    /// Milliseconds that a request takes on an instance.
+    pub service_ms: u64,
+}
+
+/// Service of the stock ledger.
+pub const STOCK: &str = "stock";
+
+impl FleetPlan {
+    /// Plan of `hosts` hosts and `instances` instances over `data_centres` data centres.
+    pub fn new(hosts: usize, instances: usize, data_centres: usize, shard_count: u32) -> Self {
+        let range = (FIRST_RANGE + std::process::id() % RANGES) as u8;
+        let ip = |net: usize, host: usize| Ipv4Addr::new(127, range, net as u8, host as u8);
+        let platform = |host: u8, port: u16| {
+            SocketAddr::from((Ipv4Addr::new(127, range, PLATFORM_NET, host), port))
+        };
+        let instances = (0..instances)
+            .map(|index| InstancePlan {
+                service: STOCK,
+                data_centre: index % data_centres,
+                address: SocketAddr::from((ip(INSTANCE_NET as usize, index + 1), INSTANCE_PORT)),
+            })
+            .collect();
+        let mut plan = FleetPlan {
+            shard_count,
+            data_centres,
+            hosts: Vec::new(),
+            instances,
+            log: platform(1, PLATFORM_PORT),
+            log_relay: SocketAddr::from((Ipv4Addr::new(127, range, RELAY_NET, 1), PLATFORM_PORT)),
+            host_list: platform(2, PLATFORM_PORT),
+            instance_control: platform(3, PLATFORM_PORT),
+            relay_control: platform(4, PLATFORM_PORT),
+            snapshot_records: 1_000,
+            snapshot_millis: 600_000,
+            service_ms: 2,
+        };
+        for index in 0..hosts {
+            plan.add_host(index % data_centres);
+        }
+        plan
+    }
+
+    /// Adds a host with a new address to `data_centre` and returns its index.
+    pub fn add_host(&mut self, data_centre: usize) -> usize {
+        let index = self.hosts.len();
+        let IpAddr::V4(platform) = self.log.ip() else {
+            return index;
+        };
+        let ip = Ipv4Addr::new(
+            127,
+            platform.octets()[1],
+            data_centre as u8 + 1,
+            index as u8 + 1,
+        );
+        self.hosts.push(HostPlan {
+            data_centre,
+            ip: ip.into(),
+            callers: SocketAddr::from((ip, CALLERS_PORT)),
+            peers: SocketAddr::from((ip, PEERS_PORT)),
+            listen_peers: SocketAddr::from((ip, LISTEN_PEERS_PORT)),
+            admin: SocketAddr::from((ip, ADMIN_PORT)),
+        });
+        index
+    }
+
+    /// IP numbers of the hosts in `data_centre`.
+    pub fn ips_of(&self, data_centre: usize) -> Vec<IpAddr> {
+        self.ips_where(|host| host.data_centre == data_centre)
+    }
+
+    /// IP numbers of the hosts outside `data_centre`.
+    pub fn ips_outside(&self, data_centre: usize) -> Vec<IpAddr> {
+        self.ips_where(|host| host.data_centre != data_centre)
+    }
+
+    fn ips_where(&self, wanted: impl Fn(&HostPlan) -> bool) -> Vec<IpAddr> {
+        self.hosts
+            .iter()
+            .filter(|host| wanted(host))
+            .map(|host| host.ip)
+            .collect()
+    }
+
+    /// Name of the data centre with index `data_centre`.
+    pub fn data_centre_name(data_centre: usize) -> String {
+        format!("dc{}", data_centre + 1)
+    }
+
+    /// Settings file of the host with index `index`.
+    pub fn settings_of(&self, index: usize) -> String {
+        let host = &self.hosts[index];
+        format!(
+            "[host]\ncallers = {}\npeers = {}\nlisten-peers = {}\nadmin = {}\ndata-centre = {}\n\n\
+             [platform]\nlog = {}\nhost-list = {}\n\n[fleet]\nshards = {}\n\n\
+             [snapshot]\nevery-records = {}\nevery-ms = {}\n",
+            host.callers,
+            host.peers,
+            host.listen_peers,
+            host.admin,
+            FleetPlan::data_centre_name(host.data_centre),
+            self.log_relay,
+            self.host_list,
+            self.shard_count,
+            self.snapshot_records,
+            self.snapshot_millis,
+        )
+    }
+}
--- /dev/null
+++ b/crates/trial/src/main.rs
@@ -0,0 +1,121 @@
+//! Command line of the trials.
+
+use std::io::IsTerminal;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Parser;
+use clap::Subcommand;
+use compio::time::sleep;
+use compio::time::timeout;
+
+use crocushoist_trial::scenario_catalogue::SCENARIOS;
+use crocushoist_trial::scenario_catalogue::ScenarioEntry;
+use crocushoist_trial::trial_error::TrialError;
+use crocushoist_trial::trial_report::TrialReport;
+
+const MAX_TRIAL_MS: u64 = 40_000;
+const PROGRESS_MS: u64 = 1_000;
+const EXIT_USAGE: u8 = 2;
+
+/// Runs scenarios against a fleet of real processes on loopback.
+#[derive(Debug, Parser)]
+#[command(name = "crocushoist-trial", version)]
+struct TrialArguments {
+    /// What to do.
+    #[command(subcommand)]
+    command: TrialCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum TrialCommand {
+    /// Names the scenarios.
+    List,
+    /// Runs a scenario.
+    Run {
+        /// Name of the scenario.
+        scenario: String,
+        /// Seed of callers and faults.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Prints one JSON object.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+fn main() -> ExitCode {
+    match TrialArguments::parse().command {
+        TrialCommand::List => {
+            for entry in SCENARIOS {
+                println!("{:<16}{}", entry.name, entry.summary);
+            }
+            ExitCode::SUCCESS
+        }
+        TrialCommand::Run {
+            scenario,
+            seed,
+            json,
+        } => run_scenario(&scenario, seed, json),
+    }
+}
+
+fn run_scenario(name: &str, seed: u64, json: bool) -> ExitCode {
+    let report = find(name).and_then(|entry| {
+        let runtime = compio::runtime::Runtime::new()?;
+        runtime.block_on(run_bounded(entry, seed))
+    });
+    match report {
+        Ok(report) => {
+            report.print(json);
+            if report.broken.is_empty() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(error @ TrialError::UnknownScenario { .. }) => {
+            eprintln!("crocushoist-trial: {error}");
+            ExitCode::from(EXIT_USAGE)
+        }
+        Err(error) => {
+            eprintln!("crocushoist-trial: {name}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn find(name: &str) -> Result<ScenarioEntry, TrialError> {
+    let near = SCENARIOS
+        .iter()
+        .max_by(|a, b| strsim::jaro(a.name, name).total_cmp(&strsim::jaro(b.name, name)))
+        .map_or("", |entry| entry.name);
+    SCENARIOS
+        .into_iter()
+        .find(|entry| entry.name == name)
+        .ok_or_else(|| TrialError::UnknownScenario {
+            name: name.to_owned(),
+            near: near.to_owned(),
+        })
+}
+
+async fn run_bounded(entry: ScenarioEntry, seed: u64) -> Result<TrialReport, TrialError> {
+    if std::io::stderr().is_terminal() {
+        compio::runtime::spawn(show_progress(entry.name)).detach();
+    }
+    let limit = Duration::from_millis(MAX_TRIAL_MS);
+    let never = TrialError::Never {
+        what: "the end of the scenario",
+        millis: MAX_TRIAL_MS,
+    };
+    timeout(limit, (entry.run)(seed))
+        .await
+        .unwrap_or(Err(never))
+}
+
+async fn show_progress(name: &'static str) {
+    for second in 0.. {
+        eprint!("\r{name} {second} s");
+        sleep(Duration::from_millis(PROGRESS_MS)).await;
+    }
+}
--- /dev/null
+++ b/crates/trial/src/process_group.rs
@@ -0,0 +1,103 @@
+//! Processes that a trial started; all end with it.
+
+use std::fs::File;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+use crate::trial_error::TrialError;
+
+/// Processes that a trial started.
+#[derive(Debug)]
+pub struct ProcessGroup {
+    folder: PathBuf,
+    children: Vec<(String, Child)>,
+}
+
+impl ProcessGroup {
+    /// Group that keeps its files in a new folder.
+    pub fn new() -> Result<Self, TrialError> {
+        let folder = std::env::temp_dir().join(format!("crocushoist-trial-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        Ok(ProcessGroup {
+            folder,
+            children: Vec::new(),
+        })
+    }
+
+    /// Folder of the group's files.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Starts `program`, which stands beside this one, under the name `name`.
+    pub fn start(
+        &mut self,
+        name: &str,
+        program: &str,
+        arguments: &[String],
+    ) -> Result<(), TrialError> {
+        let start_error = |error| TrialError::Start {
+            program: program.to_owned(),
+            error,
+        };
+        let path = std::env::current_exe()?.with_file_name(program);
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{name}.log")))?;
+        let child = Command::new(path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(start_error)?;
+        self.children.push((name.to_owned(), child));
+        Ok(())
+    }
+
+    /// Sends `signal` to the newest process called `name`.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        if let Some((_, child)) = self.children.iter().rev().find(|(known, _)| known == name)
+            && let Some(pid) = Pid::from_raw(child.id() as i32)
+        {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Whether the newest process called `name` has ended.
+    pub fn has_ended(&mut self, name: &str) -> bool {
+        let newest = self
+            .children
+            .iter_mut()
+            .rev()
+            .find(|(known, _)| known == name);
+        newest.is_none_or(|(_, child)| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    /// Log lines of the process called `name`.
+    pub fn log_of(&self, name: &str) -> String {
+        std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
+    }
+}
+
+impl Drop for ProcessGroup {
+    fn drop(&mut self) {
+        for (_, child) in &mut self.children {
+            let _ = child.kill();
+        }
+        for (_, child) in &mut self.children {
+            let _ = child.wait();
+        }
+        if std::env::var_os("CROCUSHOIST_TRIAL_KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/src/scenario_config.rs
@@ -0,0 +1,239 @@
+//! Configuration under races, lost replies and outages of the log.
+
+use std::time::Duration;
+
+use compio::time::sleep;
+use futures_util::future::join;
+use futures_util::future::join_all;
+
+use crocushoist_protocol::EditCall;
+use crocushoist_protocol::StatusReport;
+use crocushoist_protocol::WireChange;
+use crocushoist_standin::LogScript;
+use crocushoist_state::ClockTime;
+
+use crate::fleet_plan::FleetPlan;
+use crate::scenario_rate::require_wrongful;
+use crate::trial_caller::run_callers;
+use crate::trial_error::TrialError;
+use crate::trial_fleet::TrialFleet;
+use crate::trial_fleet::new_call;
+use crate::trial_report::TrialReport;
+use crate::trial_setup::conclude;
+use crate::trial_setup::limits;
+use crate::trial_setup::start_fleet;
+use crate::trial_setup::steered_caller;
+
+const HOSTS: usize = 12;
+const SHARDS: u32 = 24;
+const IN_FORCE_MS: u64 = 2_000;
+const RACERS: usize = 4;
+const ROUNDS: u64 = 8;
+const CALM_WRONGFUL_PERCENT: f64 = 0.5;
+
+fn deadline_change(value: u32) -> WireChange {
+    WireChange::SetDefault {
+        setting: "deadline-ms".into(),
+        value,
+    }
+}
+
+/// Operators who race with edits of one object from different hosts.
+pub async fn run_edit_race(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = limits(&[("depot", 200, 100)]);
+    let fleet = start_fleet(FleetPlan::new(HOSTS, 6, 3, SHARDS), &limits).await?;
+    let before = fleet.statuses().await;
+    let mut report = TrialReport::default();
+    let mut base = 0;
+    let mut slowest = 0;
+    for round in 0..ROUNDS {
+        let racers = (0..RACERS).map(|racer| {
+            let value = 1_000 + (round as u32) * 100 + racer as u32;
+            let call = EditCall {
+                base: Some(base),
+                ..new_call(deadline_change(value))
+            };
+            let host = (seed as usize + round as usize + racer * 3) % HOSTS;
+            let fleet = &fleet;
+            async move { fleet.edit(host, &call).await }
+        });
+        let results = join_all(racers).await;
+        let winners: Vec<u64> = results
+            .iter()
+            .flatten()
+            .map(|answer| answer.offset)
+            .collect();
+        let told_why = results
+            .iter()
+            .filter_map(|result| result.as_ref().err())
+            .all(|error| error.to_string().contains("was based on revision"));
+        report.require(
+            winners.len() == 1,
+            format!("{} of the racing edits won", winners.len()),
+        );
+        report.require(told_why, "a loser was not told why");
+        base = winners.first().map_or(base, |offset| offset + 1);
+        let accepted_at = ClockTime::now();
+        wait_in_force(&fleet, base).await?;
+        slowest = slowest.max(ClockTime::now().since(accepted_at));
+    }
+    report.figure("time_to_take_effect", slowest as f64, "ms after acceptance");
+    report.require(
+        slowest <= IN_FORCE_MS,
+        "an accepted edit took more than 2 s to be in force",
+    );
+    require_same_everywhere(&fleet, &mut report, &before).await;
+    conclude(&fleet, &mut report, &before, &[], &limits).await?;
+    Ok(report)
+}
+
+async fn wait_in_force(fleet: &TrialFleet, next_offset: u64) -> Result<(), TrialError> {
+    fleet
+        .wait_for("an edit in force everywhere", async |fleet| {
+            let statuses = fleet.statuses().await;
+            statuses.len() == fleet.live_hosts().len()
+                && statuses
+                    .iter()
+                    .all(|status| status.host.next_offset >= next_offset)
+        })
+        .await
+}
+
+/// Requires that no host's offset went back and that all agree.
+async fn require_same_everywhere(
+    fleet: &TrialFleet,
+    report: &mut TrialReport,
+    before: &[StatusReport],
+) {
+    let after = fleet.statuses().await;
+    let went_back = before.iter().any(|earlier| {
+        after.iter().any(|later| {
+            later.host.incarnation == earlier.host.incarnation
+                && later.host.next_offset < earlier.host.next_offset
+        })
+    });
+    report.require(!went_back, "the offset of a host went back");
+    let agree = after
+        .windows(2)
+        .all(|pair| pair[0].shards == pair[1].shards);
+    report.require(agree, "hosts hold different shard tables");
+}
+
+/// Appends whose replies are lost after they took effect.
+pub async fn run_log_lost_reply(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = limits(&[("depot", 200, 100)]);
+    let fleet = start_fleet(FleetPlan::new(6, 6, 3, 12), &limits).await?;
+    let before = fleet.statuses().await;
+    let mut report = TrialReport::default();
+    let mut base = 0;
+    for round in 0..ROUNDS {
+        let script = LogScript {
+            lose_replies: 1 + (round % 3) as u32,
+            ..LogScript::default()
+        };
+        fleet.script_log(script).await?;
+        let call = EditCall {
+            base: Some(base),
+            ..new_call(deadline_change(2_000 + round as u32))
+        };
+        let host = (seed + round) as usize % 6;
+        let first = fleet.edit(host, &call).await?;
+        let again = fleet.edit((host + 1) % 6, &call).await?;
+        report.require(
+            first.offset == again.offset,
+            "a repeated edit took effect twice",
+        );
+        base = first.offset + 1;
+    }
+    fleet.script_log(LogScript::default()).await?;
+    wait_in_force(&fleet, base).await?;
+    require_same_everywhere(&fleet, &mut report, &before).await;
+    conclude(&fleet, &mut report, &before, &[], &limits).await?;
+    Ok(report)
+}
+
+/// An outage of the log, with expired records and a host that starts meanwhile.
+pub async fn run_log_outage(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = limits(&[("depot", 120, 60), ("installer", 60, 30)]);
+    let mut plan = FleetPlan::new(HOSTS, 12, 3, SHARDS);
+    plan.snapshot_records = 20;
+    plan.snapshot_millis = 2_000;
+    let mut fleet = start_fleet(plan, &limits).await?;
+    fleet
+        .script_log(LogScript {
+            keep: 15,
+            ..LogScript::default()
+        })
+        .await?;
+    for value in 0..20 {
+        fleet.change(deadline_change(3_000 + value)).await?;
+    }
+    let before = fleet.statuses().await;
+    let callers = vec![
+        steered_caller(&fleet, "depot", 45.0, 0, seed * 100 + 1),
+        steered_caller(&fleet, "depot", 45.0, 1, seed * 100 + 2),
+        steered_caller(&fleet, "installer", 45.0, 2, seed * 100 + 3),
+    ];
+    let mut report = TrialReport::default();
+    let faults = outage(&mut fleet, &mut report);
+    let (outcomes, faulted) = join(run_callers(callers, 14_000), faults).await;
+    faulted?;
+    for workspace in ["depot", "installer"] {
+        require_wrongful(
+            &mut report,
+            &outcomes,
+            workspace,
+            &limits,
+            CALM_WRONGFUL_PERCENT,
+        );
+    }
+    require_same_everywhere(&fleet, &mut report, &before).await;
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+async fn outage(fleet: &mut TrialFleet, report: &mut TrialReport) -> Result<(), TrialError> {
+    sleep(Duration::from_millis(1_500)).await;
+    let out = LogScript {
+        out: true,
+        keep: 15,
+        ..LogScript::default()
+    };
+    fleet.script_log(out).await?;
+    sleep(Duration::from_millis(1_000)).await;
+    let started_at = ClockTime::now();
+    let newcomer = fleet.plan.add_host(0);
+    fleet.publish_hosts().await?;
+    fleet.start_host(newcomer)?;
+    fleet
+        .wait_for("a newcomer that serves during the outage", async |fleet| {
+            fleet
+                .status(newcomer)
+                .await
+                .is_ok_and(|status| status.fresh)
+        })
+        .await?;
+    report.figure(
+        "newcomer_fresh_in_outage",
+        ClockTime::now().since(started_at) as f64,
+        "ms",
+    );
+    sleep(Duration::from_millis(5_000)).await;
+    let refused = fleet.change(deadline_change(9_999)).await.is_err();
+    report.require(refused, "an edit was accepted while the log was out");
+    fleet.script_log(LogScript { out: false, ..out }).await?;
+    let answer = fleet.change(deadline_change(7_777)).await?;
+    let accepted_at = ClockTime::now();
+    wait_in_force(fleet, answer.offset + 1).await?;
+    let to_effect = ClockTime::now().since(accepted_at);
+    report.figure(
+        "time_to_take_effect",
+        to_effect as f64,
+        "ms after acceptance",
+    );
+    report.require(
+        to_effect <= IN_FORCE_MS,
+        "an accepted edit took more than 2 s to be in force",
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/trial/src/scenario_host.rs
@@ -0,0 +1,172 @@
+//! Hosts that are killed, stopped, replaced or cut off.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use compio::time::sleep;
+use futures_util::future::join;
+
+use crocushoist_standin::CutRule;
+use crocushoist_state::ClockTime;
+
+use crate::call_outcome::CallOutcome;
+use crate::call_outcome::OutcomeKind;
+use crate::fleet_plan::FleetPlan;
+use crate::promise_check::LimitTable;
+use crate::promise_check::wrongful_percent;
+use crate::trial_caller::CallerPlan;
+use crate::trial_caller::run_callers;
+use crate::trial_error::TrialError;
+use crate::trial_fleet::TrialFleet;
+use crate::trial_report::TrialReport;
+use crate::trial_setup::conclude;
+use crate::trial_setup::fixed_caller;
+use crate::trial_setup::limits;
+use crate::trial_setup::start_fleet;
+use crate::trial_setup::steered_caller;
+
+const HOSTS: usize = 12;
+const SHARDS: u32 = 24;
+const RECOVER_MS: u64 = 6_000;
+const DURATION_MS: u64 = 14_000;
+
+fn host_limits() -> LimitTable {
+    limits(&[("depot", 160, 80), ("installer", 60, 30), ("noisy", 50, 30)])
+}
+
+fn callers_of(fleet: &TrialFleet, seed: u64) -> Vec<CallerPlan> {
+    let every: Vec<usize> = (0..fleet.plan.hosts.len()).collect();
+    vec![
+        steered_caller(fleet, "depot", 50.0, 0, seed * 100 + 1),
+        steered_caller(fleet, "depot", 50.0, 1, seed * 100 + 2),
+        CallerPlan {
+            method: "POST",
+            ..steered_caller(fleet, "installer", 40.0, 2, seed * 100 + 3)
+        },
+        fixed_caller(fleet, "noisy", 200.0, &every, seed * 100 + 4),
+    ]
+}
+
+/// Kills hosts; their shares must be back in use within 6 s.
+pub async fn run_host_kill(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = host_limits();
+    let mut fleet = start_fleet(FleetPlan::new(HOSTS, 12, 3, SHARDS), &limits).await?;
+    let before = fleet.statuses().await;
+    let callers = callers_of(&fleet, seed);
+    let mut report = TrialReport::default();
+    let faults = async {
+        sleep(Duration::from_millis(1_500)).await;
+        let victims = [seed as usize % HOSTS, (seed as usize + 5) % HOSTS];
+        victims.iter().for_each(|victim| fleet.kill_host(*victim));
+        let killed_at = ClockTime::now();
+        wait_all_active(&fleet).await?;
+        let to_recover = ClockTime::now().since(killed_at);
+        let replacement = fleet.plan.add_host(victims[0] % 3);
+        fleet.publish_hosts().await?;
+        fleet.start_host(replacement)?;
+        Ok::<u64, TrialError>(to_recover)
+    };
+    let (outcomes, to_recover) = join(run_callers(callers, DURATION_MS), faults).await;
+    let to_recover = to_recover?;
+    report.figure("time_to_recover", to_recover as f64, "ms");
+    report.require(
+        to_recover <= RECOVER_MS,
+        "a dead host's share took more than 6 s to be in use",
+    );
+    wrongful_figures(&mut report, &outcomes, &limits);
+    fleet.wait_ready().await?;
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+async fn wait_all_active(fleet: &TrialFleet) -> Result<(), TrialError> {
+    fleet
+        .wait_for("every shard in use again", async |fleet| {
+            let statuses = fleet.statuses().await;
+            let active: usize = statuses.iter().map(|status| status.shards_active).sum();
+            active == fleet.plan.shard_count as usize
+        })
+        .await
+}
+
+fn wrongful_figures(report: &mut TrialReport, outcomes: &[CallOutcome], limits: &LimitTable) {
+    for workspace in ["depot", "installer"] {
+        let percent = wrongful_percent(outcomes, workspace, limits[workspace]);
+        report.figure(format!("wrongful_{workspace}"), percent, "%");
+    }
+}
+
+/// Stops hosts in the planned way while callers keep their addresses; nothing may be cut.
+pub async fn run_host_stop(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = host_limits();
+    let mut fleet = start_fleet(FleetPlan::new(HOSTS, 12, 3, SHARDS), &limits).await?;
+    let before = fleet.statuses().await;
+    let callers = callers_of(&fleet, seed);
+    let mut report = TrialReport::default();
+    let worst_gap = Cell::new(0);
+    let faults = async {
+        let mut gap = 0;
+        for round in 0..3 {
+            sleep(Duration::from_millis(1_000)).await;
+            let leaver = (seed as usize + round * 4) % HOSTS;
+            fleet.stop_host(leaver).await?;
+            sleep(Duration::from_millis(600)).await;
+            let stopped_at = ClockTime::now();
+            wait_all_active(&fleet).await?;
+            gap = gap.max(600 + ClockTime::now().since(stopped_at));
+            while !fleet.has_ended(leaver) {
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+        worst_gap.set(gap);
+        Ok::<(), TrialError>(())
+    };
+    let (outcomes, faulted) = join(run_callers(callers, DURATION_MS), faults).await;
+    faulted?;
+    report.figure("time_to_hand_over", worst_gap.get() as f64, "ms");
+    wrongful_figures(&mut report, &outcomes, &limits);
+    let cut = outcomes
+        .iter()
+        .filter(|outcome| matches!(outcome.kind, OutcomeKind::Cut | OutcomeKind::Unanswered))
+        .count();
+    report.require(cut == 0, format!("planned stops cut {cut} requests"));
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+/// Cuts a data centre off, first in one direction and then in both.
+pub async fn run_dc_cut(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = host_limits();
+    let fleet = start_fleet(FleetPlan::new(HOSTS, 12, 3, SHARDS), &limits).await?;
+    let before = fleet.statuses().await;
+    let callers = callers_of(&fleet, seed);
+    let mut report = TrialReport::default();
+    let data_centre = seed as usize % 3;
+    let faults = async {
+        sleep(Duration::from_millis(1_500)).await;
+        let inside = fleet.plan.ips_of(data_centre);
+        let mut outside = fleet.plan.ips_outside(data_centre);
+        outside.push(fleet.plan.log_relay.ip());
+        let onward = CutRule {
+            from: inside.clone(),
+            to: outside.clone(),
+        };
+        let back = CutRule {
+            from: outside,
+            to: inside,
+        };
+        fleet.cut(vec![onward.clone()]).await?;
+        sleep(Duration::from_millis(3_000)).await;
+        fleet.cut(vec![onward, back]).await?;
+        sleep(Duration::from_millis(5_000)).await;
+        fleet.cut(Vec::new()).await?;
+        let healed_at = ClockTime::now();
+        fleet.wait_ready().await?;
+        Ok::<u64, TrialError>(ClockTime::now().since(healed_at))
+    };
+    let (outcomes, healed) = join(run_callers(callers, DURATION_MS), faults).await;
+    report.figure("time_to_recover", healed? as f64, "ms after the cut");
+    wrongful_figures(&mut report, &outcomes, &limits);
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
--- /dev/null
+++ b/crates/trial/src/scenario_key.rs
@@ -0,0 +1,101 @@
+//! Keys granted and withdrawn while traffic runs over kept connections.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use compio::time::sleep;
+use futures_util::future::join;
+
+use crocushoist_state::ClockTime;
+
+use crate::call_outcome::CallOutcome;
+use crate::fleet_plan::FleetPlan;
+use crate::trial_caller::CallerPlan;
+use crate::trial_caller::run_callers;
+use crate::trial_error::TrialError;
+use crate::trial_report::TrialReport;
+use crate::trial_setup::conclude;
+use crate::trial_setup::fixed_caller;
+use crate::trial_setup::grant;
+use crate::trial_setup::key_of;
+use crate::trial_setup::limits;
+use crate::trial_setup::start_fleet;
+use crate::trial_setup::withdraw;
+
+const HOSTS: usize = 12;
+const IN_FORCE_MS: u64 = 2_000;
+
+/// Withdraws one key and grants another; both must be in force everywhere within 2 s.
+pub async fn run_key_withdraw(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = limits(&[("kept", 400, 200), ("changed", 400, 200)]);
+    let fleet = start_fleet(FleetPlan::new(HOSTS, 12, 3, 24), &limits).await?;
+    let before = fleet.statuses().await;
+    let withdrawn_at = Cell::new(ClockTime::default());
+    let granted_at = Cell::new(ClockTime::default());
+    let edits = async {
+        sleep(Duration::from_millis(2_000)).await;
+        fleet.change(withdraw("changed", 0)).await?;
+        withdrawn_at.set(ClockTime::now());
+        sleep(Duration::from_millis(1_000)).await;
+        fleet.change(grant("changed", 1)).await?;
+        granted_at.set(ClockTime::now());
+        Ok::<(), TrialError>(())
+    };
+    let every: Vec<usize> = (0..HOSTS).collect();
+    let old_key = fixed_caller(&fleet, "changed", 120.0, &every, seed * 100 + 1);
+    let new_key = CallerPlan {
+        key: Some(key_of("changed", 1)),
+        seed: seed * 100 + 2,
+        ..old_key.clone()
+    };
+    let callers = vec![
+        old_key,
+        new_key,
+        fixed_caller(&fleet, "kept", 60.0, &every, seed * 100 + 3),
+    ];
+    let (outcomes, edited) = join(run_callers(callers, 8_000), edits).await;
+    edited?;
+    let mut report = TrialReport::default();
+    let of_key = |number: u64| -> Vec<&CallOutcome> {
+        let prefix = format!("changed-{}-", seed * 100 + number);
+        outcomes
+            .iter()
+            .filter(|outcome| outcome.request.starts_with(&prefix))
+            .collect()
+    };
+    let last_served = of_key(1)
+        .into_iter()
+        .filter(|outcome| outcome.is_answered())
+        .map(|outcome| outcome.sent_at)
+        .max()
+        .unwrap_or_default();
+    let last_refused = of_key(2)
+        .into_iter()
+        .filter(|outcome| outcome.refusal().is_some())
+        .map(|outcome| outcome.sent_at)
+        .max()
+        .unwrap_or_default();
+    let to_withdraw = last_served.since(withdrawn_at.get());
+    let to_grant = last_refused.since(granted_at.get());
+    report.figure(
+        "time_to_withdraw",
+        to_withdraw as f64,
+        "ms after acceptance",
+    );
+    report.figure("time_to_grant", to_grant as f64, "ms after acceptance");
+    report.require(
+        to_withdraw <= IN_FORCE_MS,
+        "a withdrawn key worked for more than 2 s",
+    );
+    report.require(
+        to_grant <= IN_FORCE_MS,
+        "a granted key was refused for more than 2 s",
+    );
+    let kept_refused = outcomes
+        .iter()
+        .filter(|outcome| outcome.workspace == "kept" && outcome.refusal().is_some())
+        .count();
+    report.require(kept_refused == 0, "another workspace was refused meanwhile");
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
--- /dev/null
+++ b/crates/trial/src/scenario_path.rs
@@ -0,0 +1,145 @@
+//! The whole path at a calm load.
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+
+use crocushoist_transport::HttpClient;
+
+use crate::call_outcome::CallOutcome;
+use crate::fleet_plan::FleetPlan;
+use crate::trial_caller::CallerPlan;
+use crate::trial_caller::HostChoice;
+use crate::trial_caller::run_callers;
+use crate::trial_error::TrialError;
+use crate::trial_report::TrialReport;
+use crate::trial_setup::KEYED_PATH;
+use crate::trial_setup::OPEN_PATH;
+use crate::trial_setup::conclude;
+use crate::trial_setup::key_of;
+use crate::trial_setup::limits;
+use crate::trial_setup::start_fleet;
+use crate::trial_setup::steered_caller;
+
+const DURATION_MS: u64 = 6_000;
+const ADDED_P99_MICROS: f64 = 5_200.0;
+const BIG_BYTES: usize = 3_000_000;
+const CALL_MS: u64 = 10_000;
+
+/// Serves a calm load through six hosts in three data centres and compares it with going direct.
+pub async fn run_path(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = limits(&[("depot", 400, 200), ("installer", 400, 200)]);
+    let fleet = start_fleet(FleetPlan::new(6, 12, 3, 12), &limits).await?;
+    let before = fleet.statuses().await;
+    let mut callers = Vec::new();
+    for data_centre in 0..3u64 {
+        let seed = seed * 100 + data_centre;
+        callers.push(steered_caller(
+            &fleet,
+            "depot",
+            40.0,
+            data_centre as usize,
+            seed,
+        ));
+        let booking = steered_caller(&fleet, "installer", 20.0, data_centre as usize, seed + 10);
+        callers.push(CallerPlan {
+            method: "POST",
+            ..booking
+        });
+    }
+    callers.push(CallerPlan {
+        key: None,
+        path: OPEN_PATH,
+        workspace: "open".into(),
+        ..steered_caller(&fleet, "depot", 20.0, 0, seed * 100 + 20)
+    });
+    let direct_addresses = fleet
+        .plan
+        .instances
+        .iter()
+        .map(|instance| instance.address)
+        .collect();
+    callers.push(CallerPlan {
+        workspace: "direct".into(),
+        key: None,
+        hosts: HostChoice::Fixed(direct_addresses),
+        ..steered_caller(&fleet, "depot", 60.0, 0, seed * 100 + 21)
+    });
+    let outcomes = run_callers(callers, DURATION_MS).await;
+    let mut report = TrialReport::default();
+    let (direct, through): (Vec<_>, Vec<_>) = outcomes
+        .into_iter()
+        .partition(|outcome| outcome.workspace == "direct");
+    compare_latency(&mut report, &direct, &through);
+    let unanswered = through
+        .iter()
+        .filter(|outcome| !outcome.is_answered())
+        .count();
+    report.require(unanswered == 0, "a calm request was not answered");
+    check_bodies(&fleet, &mut report).await?;
+    conclude(&fleet, &mut report, &before, &through, &limits).await?;
+    Ok(report)
+}
+
+fn compare_latency(report: &mut TrialReport, direct: &[CallOutcome], through: &[CallOutcome]) {
+    for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+        let direct = quantile_of(direct, quantile);
+        let through = quantile_of(through, quantile);
+        report.figure(format!("direct_{name}"), direct, "us");
+        report.figure(format!("through_{name}"), through, "us");
+        report.figure(format!("added_{name}"), through - direct, "us");
+        report.figure(
+            format!("ratio_{name}"),
+            through / direct.max(1.0),
+            "times direct",
+        );
+    }
+    let added = report.value("added_p99").unwrap_or(0.0);
+    report.figure(
+        "added_p99_within_target",
+        f64::from(added <= ADDED_P99_MICROS),
+        "bool",
+    );
+}
+
+fn quantile_of(outcomes: &[CallOutcome], quantile: f64) -> f64 {
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
+        return 0.0;
+    };
+    for outcome in outcomes.iter().filter(|outcome| outcome.is_answered()) {
+        let _ = histogram.record(outcome.micros);
+    }
+    histogram.value_at_quantile(quantile) as f64
+}
+
+/// Sends a large body and fetches a large streamed one.
+async fn check_bodies(
+    fleet: &crate::trial_fleet::TrialFleet,
+    report: &mut TrialReport,
+) -> Result<(), TrialError> {
+    let key = key_of("depot", 0);
+    let sent = [("x-workspace-key", key.as_str()), ("x-request-id", "big")];
+    let mut client = HttpClient::new(None, fleet.plan.hosts[0].callers, CALL_MS);
+    let upload = Bytes::from(vec![b'u'; BIG_BYTES]);
+    let answer = client.call("POST", KEYED_PATH, &sent, upload).await?;
+    let expected = format!("\"received\":{BIG_BYTES}");
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    report.require(
+        text.contains(&expected),
+        format!("a large body arrived changed: {text}"),
+    );
+    let path = format!("/big/{BIG_BYTES}");
+    fleet
+        .change(crocushoist_protocol::WireChange::PutRoute {
+            prefix: "/big".into(),
+            service: crate::fleet_plan::STOCK.into(),
+            open: true,
+        })
+        .await?;
+    let answer = client.call("GET", &path, &[], Bytes::new()).await?;
+    report.figure("streamed_body", answer.body.len() as f64, "B");
+    report.require(
+        answer.body.len() == BIG_BYTES,
+        "a large answer arrived short",
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/trial/src/scenario_rate.rs
@@ -0,0 +1,180 @@
+//! Limits across all hosts: uneven callers, cuts and freezes.
+
+use std::time::Duration;
+
+use compio::time::sleep;
+use futures_util::future::join;
+
+use crocushoist_standin::CutRule;
+
+use crate::call_outcome::CallOutcome;
+use crate::fleet_plan::FleetPlan;
+use crate::promise_check::LimitTable;
+use crate::promise_check::wrongful_percent;
+use crate::trial_caller::CallerPlan;
+use crate::trial_caller::run_callers;
+use crate::trial_error::TrialError;
+use crate::trial_fleet::TrialFleet;
+use crate::trial_report::TrialReport;
+use crate::trial_setup::conclude;
+use crate::trial_setup::fixed_caller;
+use crate::trial_setup::limits;
+use crate::trial_setup::start_fleet;
+use crate::trial_setup::steered_caller;
+
+const EVEN_WRONGFUL_PERCENT: f64 = 0.5;
+const SKEWED_WRONGFUL_PERCENT: f64 = 1.0;
+const NOISY_FACTOR: f64 = 5.0;
+const SKEW_HOSTS: usize = 44;
+const FAULT_HOSTS: usize = 12;
+const FAULT_SHARDS: u32 = 24;
+
+/// A workspace at five times its rate among others inside theirs, on 44 hosts.
+pub async fn run_rate_skew(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = limits(&[
+        ("even-large", 120, 60),
+        ("even-small", 30, 20),
+        ("one-host-large", 80, 40),
+        ("one-host-small", 30, 20),
+        ("noisy", 60, 30),
+    ]);
+    let fleet = start_fleet(
+        FleetPlan::new(SKEW_HOSTS, 20, 3, SKEW_HOSTS as u32),
+        &limits,
+    )
+    .await?;
+    let before = fleet.statuses().await;
+    let every: Vec<usize> = (0..SKEW_HOSTS).collect();
+    let callers = vec![
+        fixed_caller(&fleet, "even-large", 90.0, &every, seed * 100 + 1),
+        steered_caller(&fleet, "even-small", 11.0, 0, seed * 100 + 2),
+        steered_caller(&fleet, "even-small", 11.0, 1, seed * 100 + 3),
+        fixed_caller(&fleet, "one-host-large", 60.0, &[7], seed * 100 + 4),
+        fixed_caller(&fleet, "one-host-small", 22.0, &[8], seed * 100 + 5),
+        fixed_caller(&fleet, "noisy", 30.0 * NOISY_FACTOR, &every, seed * 100 + 6),
+        steered_caller(&fleet, "noisy", 30.0 * NOISY_FACTOR, 2, seed * 100 + 7),
+    ];
+    let outcomes = run_callers(callers, 12_000).await;
+    let mut report = TrialReport::default();
+    for workspace in ["even-large", "even-small"] {
+        require_wrongful(
+            &mut report,
+            &outcomes,
+            workspace,
+            &limits,
+            EVEN_WRONGFUL_PERCENT,
+        );
+    }
+    for workspace in ["one-host-large", "one-host-small"] {
+        require_wrongful(
+            &mut report,
+            &outcomes,
+            workspace,
+            &limits,
+            SKEWED_WRONGFUL_PERCENT,
+        );
+    }
+    noisy_share(&mut report, &outcomes, &limits, 12_000);
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+/// What the noisy workspace got of its rate and burst.
+fn noisy_share(
+    report: &mut TrialReport,
+    outcomes: &[CallOutcome],
+    limits: &LimitTable,
+    millis: u64,
+) {
+    let answered = outcomes
+        .iter()
+        .filter(|outcome| outcome.workspace == "noisy" && outcome.is_answered())
+        .count();
+    let limit = limits["noisy"];
+    let allowed = f64::from(limit.rate) * millis as f64 / 1_000.0 + f64::from(limit.burst);
+    report.figure(
+        "noisy_got_of_its_limit",
+        100.0 * answered as f64 / allowed,
+        "%",
+    );
+}
+
+/// Takes the figure of wrongful refusals and requires it to be within `bound` percent.
+pub fn require_wrongful(
+    report: &mut TrialReport,
+    outcomes: &[CallOutcome],
+    workspace: &str,
+    limits: &LimitTable,
+    bound: f64,
+) {
+    let percent = wrongful_percent(outcomes, workspace, limits[workspace]);
+    report.figure(format!("wrongful_{workspace}"), percent, "%");
+    report.require(
+        percent <= bound,
+        format!("{percent:.2}% of the requests of \"{workspace}\" inside its rate were refused, allowed {bound}%"),
+    );
+}
+
+/// Limits of the scenarios with faults.
+fn fault_limits() -> LimitTable {
+    limits(&[("small", 40, 20), ("large", 150, 100), ("noisy", 50, 30)])
+}
+
+/// Callers that press every limit from every host.
+fn pressing_callers(fleet: &TrialFleet, seed: u64) -> Vec<CallerPlan> {
+    let every: Vec<usize> = (0..fleet.plan.hosts.len()).collect();
+    vec![
+        fixed_caller(fleet, "small", 100.0, &every, seed * 100 + 1),
+        fixed_caller(fleet, "large", 200.0, &every, seed * 100 + 2),
+        steered_caller(fleet, "noisy", 120.0, 0, seed * 100 + 3),
+        fixed_caller(fleet, "noisy", 130.0, &every, seed * 100 + 4),
+    ]
+}
+
+/// One-way cuts between data centres while every limit is pressed.
+pub async fn run_rate_cut(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = fault_limits();
+    let fleet = start_fleet(FleetPlan::new(FAULT_HOSTS, 20, 3, FAULT_SHARDS), &limits).await?;
+    let before = fleet.statuses().await;
+    let faults = async {
+        for data_centre in 0..3 {
+            sleep(Duration::from_millis(1_500)).await;
+            let one_way = CutRule {
+                from: fleet.plan.ips_of(data_centre),
+                to: fleet.plan.ips_outside(data_centre),
+            };
+            fleet.cut(vec![one_way]).await?;
+            sleep(Duration::from_millis(4_000)).await;
+            fleet.cut(Vec::new()).await?;
+        }
+        Ok::<(), TrialError>(())
+    };
+    let (outcomes, faulted) =
+        join(run_callers(pressing_callers(&fleet, seed), 18_000), faults).await;
+    faulted?;
+    let mut report = TrialReport::default();
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+/// Hosts frozen for longer than every lease, and thawed again, while every limit is pressed.
+pub async fn run_rate_freeze(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = fault_limits();
+    let fleet = start_fleet(FleetPlan::new(FAULT_HOSTS, 20, 3, FAULT_SHARDS), &limits).await?;
+    let before = fleet.statuses().await;
+    let faults = async {
+        for round in 0..2 {
+            sleep(Duration::from_millis(1_000)).await;
+            let frozen: Vec<usize> = (0..3)
+                .map(|offset| (round * 3 + offset) % FAULT_HOSTS)
+                .collect();
+            frozen.iter().for_each(|index| fleet.freeze_host(*index));
+            sleep(Duration::from_millis(6_500)).await;
+            frozen.iter().for_each(|index| fleet.thaw_host(*index));
+        }
+    };
+    let (outcomes, ()) = join(run_callers(pressing_callers(&fleet, seed), 17_000), faults).await;
+    let mut report = TrialReport::default();
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
--- /dev/null
+++ b/crates/trial/src/trial_report.rs
@@ -0,0 +1,61 @@
+//! Figures and verdict of a trial.
+
+use serde::Serialize;
+
+/// One figure.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct TrialFigure {
+    /// Name.
+    pub name: String,
+    /// Value.
+    pub value: f64,
+    /// Unit.
+    pub unit: &'static str,
+}
+
+/// Figures and verdict of a trial.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct TrialReport {
+    /// Figures in the order in which they were taken.
+    pub figures: Vec<TrialFigure>,
+    /// Broken promises.
+    pub broken: Vec<String>,
+}
+
+impl TrialReport {
+    /// Adds a figure.
+    pub fn figure(&mut self, name: impl Into<String>, value: f64, unit: &'static str) {
+        self.figures.push(TrialFigure {
+            name: name.into(),
+            value,
+            unit,
+        });
+    }
+
+    /// Notes a broken promise unless `holds`.
+    pub fn require(&mut self, holds: bool, promise: impl Into<String>) {
+        if !holds {
+            self.broken.push(promise.into());
+        }
+    }
+
+    /// Value of the figure called `name`.
+    pub fn value(&self, name: &str) -> Option<f64> {
+        let figure = self.figures.iter().find(|figure| figure.name == name);
+        figure.map(|figure| figure.value)
+    }
+
+    /// Prints the report, one line a figure, or as JSON.
+    pub fn print(&self, json: bool) {
+        if json {
+            println!("{}", serde_json::to_string(self).unwrap_or_default());
+            return;
+        }
+        for figure in &self.figures {
+            println!("{} {:.3} {}", figure.name, figure.value, figure.unit);
+        }
+        for promise in &self.broken {
+            println!("BROKEN {promise}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/trial/src/trial_setup.rs
@@ -0,0 +1,249 @@
+//! Sets a fleet up for a scenario and concludes it.
+
+use crocushoist_protocol::StatusReport;
+use crocushoist_protocol::WireChange;
+use crocushoist_protocol::WireScope;
+use crocushoist_state::KEY_PREFIX;
+use crocushoist_state::KeyDigest;
+use crocushoist_state::WorkspaceLimit;
+
+use crate::call_outcome::CallOutcome;
+use crate::call_outcome::OutcomeKind;
+use crate::fleet_plan::FleetPlan;
+use crate::fleet_plan::STOCK;
+use crate::promise_check::LimitTable;
+use crate::promise_check::check_all;
+use crate::trial_caller::CallerPlan;
+use crate::trial_caller::HostChoice;
+use crate::trial_error::TrialError;
+use crate::trial_fleet::TrialFleet;
+use crate::trial_report::TrialReport;
+
+const ADDRESS_TTL_MS: u32 = 1_500;
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// Path that keyed callers use.
+pub const KEYED_PATH: &str = "/stock/bins";
+
+/// Path that is open to all.
+pub const OPEN_PATH: &str = "/open/hours";
+
+/// Key number `number` of `workspace`.
+pub fn key_of(workspace: &str, number: u32) -> String {
+    let digest = KeyDigest::of(&format!("{workspace}/{number}")).to_string();
+    format!("{KEY_PREFIX}{}", &digest[..40])
+}
+
+/// Starts a fleet of `plan` and sets up the service, the routes and the workspaces of `limits`.
+pub async fn start_fleet(plan: FleetPlan, limits: &LimitTable) -> Result<TrialFleet, TrialError> {
+    let fleet = TrialFleet::start(plan).await?;
+    let common = [
+        WireChange::SetDefault {
+            setting: "address-ttl-ms".into(),
+            value: ADDRESS_TTL_MS,
+        },
+        WireChange::PutService {
+            name: STOCK.into(),
+            shed_is_not_run: true,
+        },
+        WireChange::PutRoute {
+            prefix: "/stock".into(),
+            service: STOCK.into(),
+            open: false,
+        },
+        WireChange::PutRoute {
+            prefix: "/open".into(),
+            service: STOCK.into(),
+            open: true,
+        },
+    ];
+    for change in common {
+        fleet.change(change).await?;
+    }
+    let mut names: Vec<&String> = limits.keys().collect();
+    names.sort_unstable();
+    for name in names {
+        add_workspace(&fleet, name, limits[name]).await?;
+    }
+    Ok(fleet)
+}
+
+async fn add_workspace(
+    fleet: &TrialFleet,
+    name: &str,
+    limit: WorkspaceLimit,
+) -> Result<(), TrialError> {
+    fleet
+        .change(WireChange::PutWorkspace { name: name.into() })
+        .await?;
+    set_limit(fleet, name, "rate", limit.rate).await?;
+    set_limit(fleet, name, "burst", limit.burst).await?;
+    fleet.change(grant(name, 0)).await?;
+    Ok(())
+}
+
+/// Sets `setting` of `workspace` by an exception.
+pub async fn set_limit(
+    fleet: &TrialFleet,
+    workspace: &str,
+    setting: &str,
+    value: u32,
+) -> Result<(), TrialError> {
+    let change = WireChange::PutException {
+        scope: WireScope::Workspace(workspace.into()),
+        setting: setting.into(),
+        value,
+        reason: "agreed with the workspace".into(),
+    };
+    fleet.change(change).await?;
+    Ok(())
+}
+
+/// Grants key number `number` of `workspace`.
+pub fn grant(workspace: &str, number: u32) -> WireChange {
+    WireChange::GrantKey {
+        digest: KeyDigest::of(&key_of(workspace, number)).to_string().into(),
+        workspace: workspace.into(),
+    }
+}
+
+/// Withdraws key number `number` of `workspace`.
+pub fn withdraw(workspace: &str, number: u32) -> WireChange {
+    WireChange::WithdrawKey {
+        digest: KeyDigest::of(&key_of(workspace, number)).to_string().into(),
+    }
+}
+
+/// Limits of workspaces, each with a name, a rate and a burst.
+pub fn limits(entries: &[(&str, u32, u32)]) -> LimitTable {
+    entries
+        .iter()
+        .map(|(name, rate, burst)| {
+            let limit = WorkspaceLimit {
+                rate: *rate,
+                burst: *burst,
+            };
+            ((*name).to_owned(), limit)
+        })
+        .collect()
+}
+
+/// Caller of `workspace` in `data_centre` that asks the fleet for addresses.
+pub fn steered_caller(
+    fleet: &TrialFleet,
+    workspace: &str,
+    rate: f64,
+    data_centre: usize,
+    seed: u64,
+) -> CallerPlan {
+    let entry = fleet.plan.hosts.iter().map(|host| host.callers).collect();
+    CallerPlan {
+        workspace: workspace.to_owned(),
+        key: Some(key_of(workspace, 0)),
+        rate,
+        hosts: HostChoice::Steered {
+            entry,
+            data_centre: FleetPlan::data_centre_name(data_centre),
+        },
+        method: "GET",
+        path: KEYED_PATH,
+        seed,
+    }
+}
+
+/// Caller of `workspace` that uses only the hosts with the given indexes.
+pub fn fixed_caller(
+    fleet: &TrialFleet,
+    workspace: &str,
+    rate: f64,
+    hosts: &[usize],
+    seed: u64,
+) -> CallerPlan {
+    let addresses = hosts
+        .iter()
+        .map(|index| fleet.plan.hosts[*index].callers)
+        .collect();
+    CallerPlan {
+        hosts: HostChoice::Fixed(addresses),
+        ..steered_caller(fleet, workspace, rate, 0, seed)
+    }
+}
+
+/// Checks the promises and takes the figures that every scenario has.
+pub async fn conclude(
+    fleet: &TrialFleet,
+    report: &mut TrialReport,
+    before: &[StatusReport],
+    outcomes: &[CallOutcome],
+    limits: &LimitTable,
+) -> Result<(), TrialError> {
+    let ledger = fleet.ledger().await?;
+    count_outcomes(report, outcomes);
+    check_all(report, outcomes, &ledger, limits);
+    let after = fleet.statuses().await;
+    let breaches: Vec<_> = after
+        .iter()
+        .flat_map(|status| status.breaches.iter())
+        .collect();
+    report.figure("breaches", breaches.len() as f64, "kinds");
+    report.require(
+        breaches.is_empty(),
+        format!("invariants were breached: {breaches:?}"),
+    );
+    host_costs(report, before, &after);
+    Ok(())
+}
+
+fn count_outcomes(report: &mut TrialReport, outcomes: &[CallOutcome]) {
+    let count = |wanted: &dyn Fn(&OutcomeKind) -> bool| {
+        outcomes
+            .iter()
+            .filter(|outcome| wanted(&outcome.kind))
+            .count() as f64
+    };
+    report.figure("sent", outcomes.len() as f64, "requests");
+    report.figure(
+        "answered",
+        count(&|kind| matches!(kind, OutcomeKind::Answered { .. })),
+        "requests",
+    );
+    report.figure("cut", count(&|kind| *kind == OutcomeKind::Cut), "requests");
+    report.figure(
+        "unanswered",
+        count(&|kind| *kind == OutcomeKind::Unanswered),
+        "requests",
+    );
+    report.figure(
+        "unreached",
+        count(&|kind| *kind == OutcomeKind::Unreached),
+        "requests",
+    );
+    let mut reasons: Vec<&str> = outcomes.iter().filter_map(CallOutcome::refusal).collect();
+    reasons.sort_unstable();
+    for chunk in reasons.chunk_by(|a, b| a == b) {
+        report.figure(
+            format!("refused_{}", chunk[0]),
+            chunk.len() as f64,
+            "requests",
+        );
+    }
+}
+
+fn host_costs(report: &mut TrialReport, before: &[StatusReport], after: &[StatusReport]) {
+    let mut bytes: f64 = 0.0;
+    let mut cpu: f64 = 0.0;
+    for status in after {
+        let earlier = before
+            .iter()
+            .find(|earlier| earlier.host.incarnation == status.host.incarnation);
+        let Some(earlier) = earlier else {
+            continue;
+        };
+        let millis = (status.uptime_ms - earlier.uptime_ms).max(1) as f64;
+        let moved = (status.control_bytes - earlier.control_bytes) as f64;
+        bytes = bytes.max(moved * MILLIS_PER_SECOND / millis);
+        cpu = cpu.max(100.0 * (status.cpu_ms - earlier.cpu_ms) as f64 / millis);
+    }
+    report.figure("control_bytes_per_second_worst_host", bytes, "B/s");
+    report.figure("cpu_worst_host", cpu, "% of a core, requests included");
+}
