Let a hand-over pass the fence only with its own offer

An offer was matched to the table by generation alone. An earlier holder whose offer went unanswered goes on spending; if the receiver then reclaims the shard it gets the very generation that the offer named and starts without a fence. The same happened when a hand-over was tried again after its record had been sent.

Change: the record of a hand-over names its offer, the table keeps the name, and only that offer starts the receiver at once. Once the record was sent the earlier holder stays stopped and sends the same record again; it goes on only if no record was sent.

--- a/crates/coordination/src/fleet_record.rs
+++ b/crates/coordination/src/fleet_record.rs
@@ -4,6 +4,7 @@
 
 use crocushoist_state::ConfigChange;
 use crocushoist_state::IncarnationId;
+use crocushoist_state::OfferId;
 use crocushoist_state::ShardHolder;
 use crocushoist_state::ShardId;
 
@@ -35,6 +36,8 @@
     pub from: Option<IncarnationId>,
     /// New holder, `None` to set the shard free.
     pub to: Option<ShardHolder>,
+    /// Number of the offer with which the earlier holder handed the shard over.
+    pub offer: Option<OfferId>,
 }
 
 /// Part of a snapshot of the fold.
--- a/crates/coordination/src/record_fold.rs
+++ b/crates/coordination/src/record_fold.rs
@@ -161,10 +161,14 @@
     fn apply_claim(&mut self, offset: u64, claim: &ShardClaim) -> Option<ShardTable> {
         let before = self.table.clone();
         let to = claim.to.clone();
-        if !self
-            .table
-            .change_holder(claim.shard, claim.generation, claim.from, to, offset)
-        {
+        if !self.table.change_holder(
+            claim.shard,
+            claim.generation,
+            claim.from,
+            to,
+            claim.offer,
+            offset,
+        ) {
             return None;
         }
         if let Some(holder) = &claim.to {
--- a/crates/coordination/src/share_ledger.rs
+++ b/crates/coordination/src/share_ledger.rs
@@ -3,7 +3,9 @@
 //! A shard is spent from only while the table names this incarnation, and
 //! only behind the fence: its first holder starts at once, a later one when
 //! its claim has been accepted for [`timing::FENCE_MS`], or at once with the
-//! amounts that the earlier holder handed over after it had stopped. A bucket
+//! amounts that the earlier holder handed over after it had stopped. The record
+//! of a hand-over names its offer: a claim that merely has the same generation
+//! does not pass the fence. A bucket
 //! starts empty, as of the moment its shard became active.
 
 use std::collections::HashMap;
@@ -11,6 +13,7 @@
 use crocushoist_state::ClockTime;
 use crocushoist_state::GrantId;
 use crocushoist_state::IncarnationId;
+use crocushoist_state::OfferId;
 use crocushoist_state::ShardId;
 use crocushoist_state::ShardTable;
 use crocushoist_state::ShareLimit;
@@ -47,6 +50,8 @@
 /// Shard that changes hands with its amounts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ShardOffer {
+    /// Number of the offer, which the record of the hand-over carries.
+    pub id: OfferId,
     /// Shard that changes hands.
     pub shard: ShardId,
     /// Generation that the shard has once it has changed hands.
@@ -159,7 +164,7 @@
     /// Stops spending from `shard` and returns its amounts for the next holder.
     ///
     /// `None` if the shard is not held, or not yet behind the fence.
-    pub fn stop(&mut self, shard: ShardId, now: ClockTime) -> Option<ShardOffer> {
+    pub fn stop(&mut self, shard: ShardId, id: OfferId, now: ClockTime) -> Option<ShardOffer> {
         let held = self.held.get_mut(&shard)?;
         if matches!(held.phase, ShardPhase::Fenced { .. }) {
             return None;
@@ -178,13 +183,16 @@
             })
             .collect();
         Some(ShardOffer {
+            id,
             shard,
             generation: held.generation + 1,
             amounts,
         })
     }
 
-    /// Spends from `shard` again after a hand-over that was never recorded.
+    /// Spends from `shard` again after a hand-over whose record was never sent.
+    ///
+    /// A record that was sent may still take effect, whatever became of its reply.
     pub fn resume(&mut self, shard: ShardId, now: ClockTime) {
         if let Some(held) = self.held.get_mut(&shard)
             && held.phase == ShardPhase::Stopped
@@ -216,10 +224,9 @@
         let Some(entry) = table.get(shard) else {
             return;
         };
-        let offer = self
-            .offers
-            .remove(&shard)
-            .filter(|(offer, _)| offer.generation == entry.generation);
+        let offer = self.offers.remove(&shard).filter(|(offer, _)| {
+            offer.generation == entry.generation && Some(offer.id) == entry.offer
+        });
         let phase = if entry.generation == 1 || offer.is_some() {
             ShardPhase::Active { since: now }
         } else {
--- a/crates/daemon/src/hand_over.rs
+++ b/crates/daemon/src/hand_over.rs
@@ -1,10 +1,11 @@
 //! Hands a shard to another host with its tokens.
 //!
-//! Nothing is done while the log cannot be read. This host stops spending first, then offers the amounts, then appends the
-//! record. The receiver starts when it has folded the record, without a
-//! fence. If the offer is not taken, nothing was recorded and this host goes
-//! on; if the record's fate is unknown, this host stays stopped and tries the
-//! same hand-over again.
+//! Nothing is done while the log cannot be read. This host stops spending
+//! first, then offers the amounts, then appends the record, which names the
+//! offer. The receiver starts when it has folded the record, without a fence.
+//! If the offer is not taken, no record is sent and this host goes on. Once
+//! the record was sent it may take effect at any time, so this host stays
+//! stopped and sends the same record again until it is folded.
 
 use crocushoist_coordination::FleetRecord;
 use crocushoist_coordination::ShardClaim;
@@ -12,6 +13,7 @@
 use crocushoist_protocol::OfferRequest;
 use crocushoist_protocol::OfferedAmounts;
 use crocushoist_state::ClockTime;
+use crocushoist_state::OfferId;
 use crocushoist_state::ShardHolder;
 use crocushoist_state::ShardId;
 use crocushoist_transport::PeerLink;
@@ -34,33 +36,53 @@
     {
         return false;
     }
-    let now = ClockTime::now();
-    let prepared = prepare(context, shard, receiver, now);
+    let prepared = prepare(context, shard, receiver, ClockTime::now());
     let Some((offer, claim)) = prepared else {
         return false;
     };
+    if !offer_to(context, receiver, offer).await {
+        let mut state = context.state.borrow_mut();
+        state.ledger.resume(shard, ClockTime::now());
+        return false;
+    }
+    context
+        .state
+        .borrow_mut()
+        .hand_overs
+        .insert(shard, claim.clone());
+    append_claim(context, claim).await
+}
+
+/// Sends the records of unfinished hand-overs again; whether there were any.
+pub(crate) async fn resend_hand_overs(context: &HostContext) -> bool {
+    let claims: Vec<ShardClaim> = context
+        .state
+        .borrow()
+        .hand_overs
+        .values()
+        .cloned()
+        .collect();
+    let any = !claims.is_empty();
+    for claim in claims {
+        append_claim(context, claim).await;
+    }
+    any
+}
+
+async fn offer_to(context: &HostContext, receiver: &ShardHolder, offer: OfferRequest) -> bool {
     let client = context
         .state
         .borrow()
         .links
         .get(&receiver.address.peers)
         .cloned();
-    let taken = match client {
+    match client {
         Some(client) => client
             .offer(PeerLink::context(OFFER_MS), offer)
             .await
             .unwrap_or(false),
         None => false,
-    };
-    if !taken {
-        context
-            .state
-            .borrow_mut()
-            .ledger
-            .resume(shard, ClockTime::now());
-        return false;
     }
-    append_claim(context, claim).await
 }
 
 fn prepare(
@@ -71,12 +93,17 @@
 ) -> Option<(OfferRequest, ShardClaim)> {
     let mut state = context.state.borrow_mut();
     let generation = state.fold.table().get(shard)?.generation;
-    let offer = state.ledger.stop(shard, now)?;
+    if state.hand_overs.contains_key(&shard) {
+        return None;
+    }
+    let id = OfferId(rand::random());
+    let offer = state.ledger.stop(shard, id, now)?;
     let claim = ShardClaim {
         shard,
         generation,
         from: Some(state.own.incarnation),
         to: Some(receiver.clone()),
+        offer: Some(id),
     };
     Some((wire_offer(&state, offer), claim))
 }
@@ -93,6 +120,7 @@
         })
         .collect();
     OfferRequest {
+        id: offer.id.0,
         shard: offer.shard.as_u32(),
         generation: offer.generation,
         next_offset: state.fold.next_offset(),
--- a/crates/daemon/src/host_state.rs
+++ b/crates/daemon/src/host_state.rs
@@ -15,6 +15,7 @@
 use crocushoist_coordination::PeerState;
 use crocushoist_coordination::RecordFold;
 use crocushoist_coordination::RecordTail;
+use crocushoist_coordination::ShardClaim;
 use crocushoist_coordination::ShareLedger;
 use crocushoist_coordination::TokenDenial;
 use crocushoist_protocol::ClosedGrant;
@@ -71,6 +72,8 @@
     pub links: HashMap<SocketAddr, PeerServiceClient>,
     /// Grants of other hosts that were closed here, by holder.
     pub closed: HashMap<SocketAddr, Vec<ClosedGrant>>,
+    /// Records of hand-overs that were sent and not folded yet.
+    pub hand_overs: HashMap<ShardId, ShardClaim>,
     /// What this host does for and asks of its peers.
     pub roles: PeerRoles,
     /// Number of times the fold was replaced; workspace ids hold within one epoch.
@@ -99,6 +102,7 @@
             listed: Vec::new(),
             links: HashMap::new(),
             closed: HashMap::new(),
+            hand_overs: HashMap::new(),
             roles: PeerRoles::default(),
             epoch: 0,
             stopping: false,
@@ -152,6 +156,11 @@
         self.freshness
             .weigh_majority(self.fold.table(), own, next_offset, now);
         self.ledger.reconcile(self.fold.table(), accepted, now);
+        let table = self.fold.table();
+        self.hand_overs.retain(|shard, claim| {
+            let entry = table.get(*shard);
+            entry.is_some_and(|entry| entry.generation == claim.generation)
+        });
     }
 
     /// Question to a peer.
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -16,6 +16,7 @@
 use crocushoist_state::ClockTime;
 use crocushoist_state::GrantId;
 use crocushoist_state::IncarnationId;
+use crocushoist_state::OfferId;
 use crocushoist_state::ShardId;
 
 use crate::host_context::SharedContext;
@@ -85,6 +86,7 @@
             })
             .collect();
         let offer = ShardOffer {
+            id: OfferId(request.id),
             shard: ShardId::from_u32(request.shard),
             generation: request.generation,
             amounts,
--- a/crates/daemon/src/shard_keeper.rs
+++ b/crates/daemon/src/shard_keeper.rs
@@ -21,6 +21,7 @@
 use crocushoist_transport::PeerLink;
 
 use crate::hand_over::hand_over;
+use crate::hand_over::resend_hand_overs;
 use crate::host_context::HostContext;
 use crate::host_context::SharedContext;
 use crate::host_state::HostState;
@@ -76,6 +77,9 @@
         append_claims(context, reclaims.into_iter().flatten().collect()).await;
         return;
     }
+    if resend_hand_overs(context).await {
+        return;
+    }
     let surplus = surplus_of(&context.state.borrow(), now);
     if let Some((shard, receiver)) = surplus {
         hand_over(context, shard, &receiver).await;
@@ -115,6 +119,7 @@
         generation: entry.generation,
         from,
         to: Some(state.own.clone()),
+        offer: None,
     })
 }
 
--- a/crates/daemon/tests/agreement.rs
+++ b/crates/daemon/tests/agreement.rs
@@ -19,7 +19,6 @@
 use crocushoist_coordination::EditRecord;
 use crocushoist_coordination::FleetRecord;
 use crocushoist_coordination::ShardClaim;
-use crocushoist_coordination::ShardOffer;
 use crocushoist_coordination::timing;
 use crocushoist_protocol::DrawAnswer;
 use crocushoist_protocol::DrawRequest;
@@ -32,6 +31,7 @@
 use crocushoist_state::GrantId;
 use crocushoist_state::HostAddress;
 use crocushoist_state::IncarnationId;
+use crocushoist_state::OfferId;
 use crocushoist_state::SettingName;
 use crocushoist_state::ShardHolder;
 use crocushoist_state::ShardId;
@@ -40,14 +40,19 @@
 
 const HOSTS: usize = 5;
 const SHARDS: u32 = 6;
-const STEPS: usize = 3_000;
-const RUNS: u64 = 400;
+const STEPS: usize = 4_000;
+const RUNS: u64 = 300;
 const RATE: u32 = 400;
 const BURST: u32 = 40;
+const MAX_MESSAGES: usize = 120;
 const WORKSPACE: &str = "depot";
 
 /// Message between hosts, or between a host and the log.
 enum Message {
+    Append {
+        host: usize,
+        record: FleetRecord,
+    },
     ReadAnswer {
         host: usize,
         first: u64,
@@ -96,6 +101,7 @@
     hosts: Vec<HostState>,
     lives: u64,
     messages: Vec<Message>,
+    isolated: [bool; HOSTS],
     accepted_at: Vec<ClockTime>,
     spent_at: Vec<u64>,
     seen: Counters,
@@ -120,6 +126,7 @@
             hosts: Vec::new(),
             lives: 0,
             messages: Vec::new(),
+            isolated: [false; HOSTS],
             accepted_at: Vec::new(),
             spent_at: Vec::new(),
             seen: Counters::default(),
@@ -186,6 +193,7 @@
             generation: entry.generation,
             from: entry.holder.as_ref().map(|holder| holder.incarnation),
             to: Some(state.own.clone()),
+            offer: None,
         };
         if claim.from != Some(state.own.incarnation) {
             self.append(&FleetRecord::Claim(claim));
@@ -193,27 +201,44 @@
     }
 
     /// Hands a shard over as the daemon does: stop, offer, append.
+    ///
+    /// The offer may be lost, and the record may take effect late.
     fn hand_over(&mut self, from: usize, to: usize, shard: ShardId) {
-        if self.log_out || from == to {
+        if from == to {
             return;
         }
         let now = self.now;
-        let Some(offer): Option<ShardOffer> = self.hosts[from].ledger.stop(shard, now) else {
+        if let Some(claim) = self.hosts[from].hand_overs.get(&shard).cloned() {
+            self.messages.push(Message::Append {
+                host: from,
+                record: FleetRecord::Claim(claim),
+            });
+            return;
+        }
+        let id = OfferId(self.random.random());
+        let Some(offer) = self.hosts[from].ledger.stop(shard, id, now) else {
             return;
         };
+        let generation = offer.generation - 1;
+        if self.random.random_bool(0.7) {
+            self.hosts[to].ledger.note_offer(offer, now);
+        }
         if self.random.random_bool(0.3) {
             self.hosts[from].ledger.resume(shard, now);
             return;
         }
-        let generation = offer.generation - 1;
-        self.hosts[to].ledger.note_offer(offer, now);
         let claim = ShardClaim {
             shard,
             generation,
             from: Some(self.hosts[from].own.incarnation),
             to: Some(self.hosts[to].own.clone()),
+            offer: Some(id),
         };
-        self.append(&FleetRecord::Claim(claim));
+        self.hosts[from].hand_overs.insert(shard, claim.clone());
+        self.messages.push(Message::Append {
+            host: from,
+            record: FleetRecord::Claim(claim),
+        });
     }
 
     fn step(&mut self) {
@@ -221,22 +246,49 @@
         let other = self.random.random_range(0..HOSTS);
         let shard = ShardId::from_u32(self.random.random_range(0..SHARDS));
         match self.random.random_range(0..1000) {
-            0..470 => self.deliver(),
-            470..480 => self.drop_message(),
-            480..540 => self.ask_log(host),
-            540..640 if host != other => self.ask_peer(host, other),
-            640..800 => (0..4).for_each(|_| self.spend(host)),
-            800..810 if host != other => self.take_snapshot(host, other),
-            810..820 => self.edit(),
-            820..826 => self.claim(host, shard),
-            826..836 => self.hand_over(host, other, shard),
-            836..838 => self.restart(host),
-            838..842 => self.log_out = !self.log_out,
-            842..997 => self.wait(0..40),
+            0..400 => self.deliver(),
+            400..405 => self.drop_message(),
+            405..460 => self.ask_log(host),
+            460..560 if host != other => self.ask_peer(host, other),
+            560..690 => (0..6).for_each(|_| self.spend(host)),
+            690..698 if host != other => self.take_snapshot(host, other),
+            698..706 => self.edit(),
+            706..716 => self.reclaim_isolated(host),
+            716..718 => self.claim(host, shard),
+            718..722 => self.hand_over(host, other, shard),
+            722..723 => self.restart(host),
+            723..724 => self.log_out = !self.log_out,
+            724..728 => self.isolate(),
+            728..999 => self.wait(0..40),
             _ => self.wait(0..2_500),
         }
     }
 
+    /// Holds back the messages of some hosts from now on.
+    fn isolate(&mut self) {
+        for host in 0..HOSTS {
+            self.isolated[host] = self.random.random_bool(0.25);
+        }
+    }
+
+    /// Claims a shard of an isolated holder, as its watchers do.
+    fn reclaim_isolated(&mut self, host: usize) {
+        let isolated: Vec<_> = (0..HOSTS).filter(|index| self.isolated[*index]).collect();
+        let shards: Vec<ShardId> = isolated
+            .iter()
+            .flat_map(|index| {
+                self.hosts[host]
+                    .fold
+                    .table()
+                    .held_by(self.hosts[*index].own.incarnation)
+            })
+            .collect();
+        if !self.isolated[host] && !shards.is_empty() {
+            let pick = self.random.random_range(0..shards.len());
+            self.claim(host, shards[pick]);
+        }
+    }
+
     fn wait(&mut self, millis: std::ops::Range<u64>) {
         let waited = self.random.random_range(millis);
         self.now = self.now.plus(waited + 1);
@@ -254,7 +306,8 @@
 
     fn restart(&mut self, host: usize) {
         self.hosts[host] = self.new_host(host);
-        self.messages.retain(|message| !message.involves(host));
+        self.messages
+            .retain(|message| matches!(message, Message::Append { .. }) || !message.involves(host));
     }
 
     fn ask_log(&mut self, host: usize) {
@@ -344,13 +397,33 @@
         }
     }
 
+    /// A message that is not held back, or rarely one that is.
+    fn pick_message(&mut self) -> Option<usize> {
+        while self.messages.len() > MAX_MESSAGES {
+            self.drop_message();
+        }
+        let free: Vec<usize> = (0..self.messages.len())
+            .filter(|index| {
+                let message = &self.messages[*index];
+                !(0..HOSTS).any(|host| self.isolated[host] && message.involves(host))
+            })
+            .collect();
+        if self.messages.is_empty() || (free.is_empty() && self.random.random_bool(0.9)) {
+            return None;
+        }
+        if free.is_empty() || self.random.random_bool(0.03) {
+            return Some(self.random.random_range(0..self.messages.len()));
+        }
+        Some(free[self.random.random_range(0..free.len())])
+    }
+
     fn deliver(&mut self) {
-        if self.messages.is_empty() {
+        let Some(index) = self.pick_message() else {
             return;
-        }
-        let index = self.random.random_range(0..self.messages.len());
+        };
         let now = self.now;
         match self.messages.swap_remove(index) {
+            Message::Append { record, .. } => self.append(&record),
             Message::ReadAnswer {
                 host,
                 first,
@@ -371,7 +444,10 @@
                 request,
             } => {
                 let asked_from = request.next_offset;
-                let answer = Box::new(self.hosts[to].answer_pull(request, now));
+                let mut answer = Box::new(self.hosts[to].answer_pull(request, now));
+                if self.random.random_bool(0.2) {
+                    answer.records = None;
+                }
                 self.messages.push(Message::PullTold {
                     from,
                     asked_from,
@@ -520,6 +596,7 @@
             | Message::DrawTold { from, to, .. } => *from == host || *to == host,
             Message::PullTold { from, .. } => *from == host,
             Message::Closed { to, .. } => *to == host,
+            Message::Append { host: writer, .. } => *writer == host,
         }
     }
 }
--- a/crates/protocol/src/peer_service.rs
+++ b/crates/protocol/src/peer_service.rs
@@ -98,6 +98,8 @@
 /// Offers a shard to its next holder.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct OfferRequest {
+    /// Number of the offer, which the record of the hand-over carries.
+    pub id: u64,
     /// Shard that changes hands.
     pub shard: u32,
     /// Generation that the shard has once it has changed hands.
--- a/crates/protocol/src/wire_record.rs
+++ b/crates/protocol/src/wire_record.rs
@@ -12,6 +12,7 @@
 use crocushoist_coordination::ShardClaim;
 use crocushoist_coordination::SnapshotPart;
 use crocushoist_state::IncarnationId;
+use crocushoist_state::OfferId;
 use crocushoist_state::ShardId;
 
 use crate::ProtocolError;
@@ -33,6 +34,7 @@
         generation: u32,
         from: Option<u64>,
         to: Option<WireHolder>,
+        offer: Option<u64>,
     },
     End {
         incarnation: u64,
@@ -84,6 +86,7 @@
                 generation: claim.generation,
                 from: claim.from.map(|incarnation| incarnation.0),
                 to: claim.to.as_ref().map(WireHolder::from),
+                offer: claim.offer.map(|offer| offer.0),
             },
             FleetRecord::End {
                 incarnation,
@@ -126,11 +129,13 @@
                 generation,
                 from,
                 to,
+                offer,
             } => FleetRecord::Claim(ShardClaim {
                 shard: ShardId::from_u32(shard),
                 generation,
                 from: from.map(IncarnationId),
                 to: to.map(Into::into),
+                offer: offer.map(OfferId),
             }),
             WireRecord::End {
                 incarnation,
--- a/crates/protocol/src/wire_snapshot.rs
+++ b/crates/protocol/src/wire_snapshot.rs
@@ -12,6 +12,7 @@
 use crocushoist_state::ConfigChange;
 use crocushoist_state::FleetConfig;
 use crocushoist_state::KeyDigest;
+use crocushoist_state::OfferId;
 use crocushoist_state::ShardEntry;
 use crocushoist_state::ShardTable;
 
@@ -40,6 +41,7 @@
     holder: Option<WireHolder>,
     generation: u32,
     changed_at: u64,
+    offer: Option<u64>,
 }
 
 /// Every object but the keys, as the change that makes it, with revision and author.
@@ -113,6 +115,7 @@
                 holder: entry.holder.as_ref().map(WireHolder::from),
                 generation: entry.generation,
                 changed_at: entry.changed_at,
+                offer: entry.offer.map(|offer| offer.0),
             })
             .collect();
         let outcomes = fold
@@ -151,6 +154,7 @@
                 holder: shard.holder.map(Into::into),
                 generation: shard.generation,
                 changed_at: shard.changed_at,
+                offer: shard.offer.map(OfferId),
             })
             .collect();
         let table = ShardTable::from_entries(entries);
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -47,6 +47,7 @@
 pub use shard_holder::HostAddress;
 pub use shard_holder::IncarnationId;
 pub use shard_holder::ShardHolder;
+pub use shard_table::OfferId;
 pub use shard_table::ShardEntry;
 pub use shard_table::ShardId;
 pub use shard_table::ShardTable;
--- a/crates/state/src/shard_table.rs
+++ b/crates/state/src/shard_table.rs
@@ -22,6 +22,10 @@
 pub struct ShardId(u32);
 entity_impl!(ShardId, "shard");
 
+/// Random number of one offer to hand a shard over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct OfferId(pub u64);
+
 /// State of one shard.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ShardEntry {
@@ -31,6 +35,8 @@
     pub generation: u32,
     /// Offset of the record that last changed the holder.
     pub changed_at: u64,
+    /// Offer with which the earlier holder handed it over, `None` after any other change.
+    pub offer: Option<OfferId>,
 }
 
 /// Holder of each shard.
@@ -93,6 +99,7 @@
         generation: u32,
         from: Option<IncarnationId>,
         to: Option<ShardHolder>,
+        offer: Option<OfferId>,
         offset: u64,
     ) -> bool {
         if shard.index() >= self.shards.len() {
@@ -105,6 +112,7 @@
         entry.holder = to;
         entry.generation += 1;
         entry.changed_at = offset;
+        entry.offer = offer;
         true
     }
 
