Isolate shard holders in the model so that the fence is needed

The model now reclaims from isolated holders while their evidence is young and lets the others confirm at once.

--- a/crates/daemon/tests/agreement.rs
+++ b/crates/daemon/tests/agreement.rs
@@ -253,13 +253,13 @@
             560..690 => (0..6).for_each(|_| self.spend(host)),
             690..698 if host != other => self.take_snapshot(host, other),
             698..706 => self.edit(),
-            706..716 => self.reclaim_isolated(host),
-            716..718 => self.claim(host, shard),
-            718..722 => self.hand_over(host, other, shard),
-            722..723 => self.restart(host),
-            723..724 => self.log_out = !self.log_out,
-            724..728 => self.isolate(),
-            728..999 => self.wait(0..40),
+            706..720 => self.reclaim_isolated(host),
+            720..722 => self.claim(host, shard),
+            722..726 => self.hand_over(host, other, shard),
+            726..727 => self.restart(host),
+            727..728 => self.log_out = !self.log_out,
+            728..732 => self.isolate(),
+            732..999 => self.wait(0..40),
             _ => self.wait(0..2_500),
         }
     }
@@ -286,6 +286,26 @@
         if !self.isolated[host] && !shards.is_empty() {
             let pick = self.random.random_range(0..shards.len());
             self.claim(host, shards[pick]);
+            if self.random.random_bool(0.7) {
+                self.hurry(host);
+            }
+        }
+    }
+
+    /// Lets `host` hear at once that every host that is not isolated has folded the log.
+    fn hurry(&mut self, host: usize) {
+        if self.log_out {
+            return;
+        }
+        let others: Vec<usize> = (0..HOSTS).filter(|other| !self.isolated[*other]).collect();
+        for other in &others {
+            self.read_whole_log(*other);
+        }
+        for other in others.into_iter().filter(|other| *other != host) {
+            let request = self.hosts[host].pull_request();
+            let asked_from = request.next_offset;
+            let answer = self.hosts[other].answer_pull(request, self.now);
+            self.hosts[host].take_pull_answer(asked_from, self.now, answer, self.now);
         }
     }
 
