--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -5,6 +5,7 @@
 //! it started.
 
 pub mod call_outcome;
+pub mod demo_fleet;
 pub mod fleet_plan;
 pub mod process_group;
 pub mod promise_check;
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -9,6 +9,7 @@
 use compio::time::sleep;
 use compio::time::timeout;
 
+use crocushoist_trial::demo_fleet::run_demo;
 use crocushoist_trial::scenario_catalogue::SCENARIOS;
 use crocushoist_trial::scenario_catalogue::ScenarioEntry;
 use crocushoist_trial::trial_error::TrialError;
@@ -31,6 +32,12 @@
 enum TrialCommand {
     /// Names the scenarios.
     List,
+    /// Runs a small fleet and one request through it.
+    Demo {
+        /// Seconds after which it ends; it runs until interrupted otherwise.
+        #[arg(long)]
+        seconds: Option<u64>,
+    },
     /// Runs a scenario.
     Run {
         /// Name of the scenario.
@@ -55,6 +62,7 @@
             }
             ExitCode::SUCCESS
         }
+        TrialCommand::Demo { seconds } => show_demo(seconds),
         TrialCommand::Run {
             scenario,
             seed,
@@ -72,7 +80,7 @@
     match report {
         Ok(report) => {
             report.print(json);
-            if report.broken.is_empty() && !(targets && !report.missed.is_empty()) {
+            if report.broken.is_empty() && (!targets || report.missed.is_empty()) {
                 ExitCode::SUCCESS
             } else {
                 ExitCode::FAILURE
@@ -89,6 +97,19 @@
     }
 }
 
+fn show_demo(seconds: Option<u64>) -> ExitCode {
+    let shown = compio::runtime::Runtime::new()
+        .map_err(TrialError::from)
+        .and_then(|runtime| runtime.block_on(run_demo(seconds)));
+    match shown {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("crocushoist-trial: demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn find(name: &str) -> Result<ScenarioEntry, TrialError> {
     let near = SCENARIOS
         .iter()
