Forget old outcomes of edits in order, and measure folds and fleets by size

Cause: each folded edit looked through all 8192 kept outcomes, which made the fold of 206090 records (98000 workspaces with a key each, 9800 routes) take 2670 ms, 13 us a record.

Change: outcomes are kept in the order of their offsets and dropped from the front. crocushoist-trial measure-fold and measure-hosts take the figures for docs/CAPACITY.md.

--- a/crates/coordination/src/record_fold.rs
+++ b/crates/coordination/src/record_fold.rs
@@ -5,6 +5,7 @@
 //! passed over, the same on every host. The offset only moves forward.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use compact_str::CompactString;
 use compact_str::format_compact;
@@ -38,6 +39,7 @@
     config: FleetConfig,
     table: ShardTable,
     outcomes: BTreeMap<EditId, EditOutcome>,
+    outcome_order: VecDeque<EditId>,
     next_offset: u64,
     newest_snapshot: u64,
 }
@@ -54,14 +56,15 @@
             config,
             table,
             outcomes: BTreeMap::new(),
+            outcome_order: VecDeque::new(),
             next_offset,
             newest_snapshot: next_offset,
         }
     }
 
-    /// Puts back an outcome kept in a snapshot.
+    /// Puts back an outcome kept in a snapshot, in the order of their offsets.
     pub fn restore_outcome(&mut self, id: EditId, outcome: EditOutcome) {
-        self.outcomes.insert(id, outcome);
+        self.keep_outcome(id, outcome);
     }
 
     /// Folds the record at `offset`, `None` if it is unreadable.
@@ -137,9 +140,11 @@
         self.outcomes.get(&id)
     }
 
-    /// Outcomes that are still kept.
+    /// Outcomes that are still kept, in the order of their offsets.
     pub fn outcomes(&self) -> impl Iterator<Item = (EditId, &EditOutcome)> {
-        self.outcomes.iter().map(|(id, outcome)| (*id, outcome))
+        self.outcome_order
+            .iter()
+            .filter_map(|id| Some((*id, self.outcomes.get(id)?)))
     }
 
     fn apply_edit(&mut self, offset: u64, edit: &EditRecord) {
@@ -153,9 +158,25 @@
             offset,
             refused: result.err().map(|error| format_compact!("{error}")),
         };
-        self.outcomes.insert(edit.id, outcome);
-        let oldest = offset.saturating_sub(OUTCOMES_KEPT_OFFSETS);
-        self.outcomes.retain(|_, outcome| outcome.offset >= oldest);
+        self.keep_outcome(edit.id, outcome);
+        self.forget_outcomes(offset.saturating_sub(OUTCOMES_KEPT_OFFSETS));
+    }
+
+    fn keep_outcome(&mut self, id: EditId, outcome: EditOutcome) {
+        self.outcomes.insert(id, outcome);
+        self.outcome_order.push_back(id);
+    }
+
+    /// Forgets outcomes older than offset `oldest`.
+    fn forget_outcomes(&mut self, oldest: u64) {
+        while let Some(id) = self.outcome_order.front() {
+            let kept = self.outcomes.get(id);
+            if kept.is_some_and(|outcome| outcome.offset >= oldest) {
+                return;
+            }
+            self.outcomes.remove(id);
+            self.outcome_order.pop_front();
+        }
     }
 
     fn apply_claim(&mut self, offset: u64, claim: &ShardClaim) -> Option<ShardTable> {
--- a/crates/daemon/src/admin_server.rs
+++ b/crates/daemon/src/admin_server.rs
@@ -39,6 +39,7 @@
 const MAX_CALL_BYTES: usize = 64 * 1024;
 const MILLIS_PER_SECOND: u64 = 1_000;
 const NANOS_PER_MILLI: u64 = 1_000_000;
+const PAGE_BYTES: u64 = 4_096;
 
 /// Answers one request of an operator or a scraper.
 pub(crate) async fn answer_admin(
@@ -153,6 +154,7 @@
         breaches: HostMetrics::breaches(),
         control_bytes: context.meter.total(),
         cpu_ms: cpu_millis(),
+        resident_bytes: resident_bytes(),
         uptime_ms: now.since(context.started_at),
     }
 }
@@ -252,6 +254,14 @@
     time.tv_sec as u64 * MILLIS_PER_SECOND + time.tv_nsec as u64 / NANOS_PER_MILLI
 }
 
+/// Resident memory of this process, zero where the system does not tell.
+fn resident_bytes() -> u64 {
+    let pages = std::fs::read_to_string("/proc/self/statm")
+        .ok()
+        .and_then(|text| text.split_whitespace().nth(1)?.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
 fn json(status: StatusCode, value: &impl Serialize) -> Response<AnswerBody> {
     let body = serde_json::to_string(value).unwrap_or_default();
     respond(status, "application/json", body)
--- a/crates/protocol/src/status_report.rs
+++ b/crates/protocol/src/status_report.rs
@@ -116,6 +116,8 @@
     pub control_bytes: u64,
     /// Processor time since start in milliseconds.
     pub cpu_ms: u64,
+    /// Resident memory in bytes.
+    pub resident_bytes: u64,
     /// Milliseconds since start.
     pub uptime_ms: u64,
 }
--- /dev/null
+++ b/crates/trial/src/fold_measure.rs
@@ -0,0 +1,155 @@
+//! Measures what a folded configuration costs.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use crocushoist_coordination::EditId;
+use crocushoist_coordination::EditRecord;
+use crocushoist_coordination::FleetRecord;
+use crocushoist_coordination::RecordFold;
+use crocushoist_protocol::decode_record;
+use crocushoist_protocol::decode_snapshot;
+use crocushoist_protocol::encode_record;
+use crocushoist_protocol::encode_snapshot;
+use crocushoist_state::ConfigChange;
+use crocushoist_state::KeyDigest;
+use crocushoist_state::RouteAccess;
+use crocushoist_state::SharePlan;
+
+use crate::trial_report::TrialReport;
+
+const SHARDS: u32 = 128;
+const SERVICES: usize = 290;
+const LOOK_UPS: usize = 200_000;
+const PAGE_BYTES: u64 = 4_096;
+const NANOS_PER_SECOND: f64 = 1e9;
+const MILLIS_PER_SECOND: f64 = 1e3;
+
+/// Folds `workspaces` workspaces with a key each and `routes` routes, and takes the figures.
+pub fn measure_fold(workspaces: usize, routes: usize) -> TrialReport {
+    let mut report = TrialReport::default();
+    let records: Vec<Vec<u8>> = changes(workspaces, routes)
+        .enumerate()
+        .map(|(index, change)| encode_record(&edit(index as u128, change)))
+        .collect();
+    let log_bytes: usize = records.iter().map(Vec::len).sum();
+    report.figure("records", records.len() as f64, "records");
+    report.figure(
+        "record_bytes",
+        log_bytes as f64 / records.len() as f64,
+        "B a record",
+    );
+    let resident_before = resident_bytes();
+    let began = Instant::now();
+    let mut fold = RecordFold::new(SHARDS);
+    for (offset, bytes) in records.iter().enumerate() {
+        let record = decode_record(bytes).ok();
+        let _ = fold.apply(offset as u64, record.as_ref());
+    }
+    report.figure(
+        "fold_time",
+        began.elapsed().as_secs_f64() * MILLIS_PER_SECOND,
+        "ms",
+    );
+    let grown = resident_bytes().saturating_sub(resident_before);
+    report.figure("fold_memory", grown as f64, "B");
+    measure_snapshot(&mut report, &fold);
+    measure_look_ups(&mut report, &fold, workspaces, routes);
+    report
+}
+
+fn measure_snapshot(report: &mut TrialReport, fold: &RecordFold) {
+    let began = Instant::now();
+    let bytes = encode_snapshot(fold);
+    report.figure(
+        "snapshot_encode_time",
+        began.elapsed().as_secs_f64() * MILLIS_PER_SECOND,
+        "ms",
+    );
+    report.figure("snapshot_bytes", bytes.len() as f64, "B");
+    let began = Instant::now();
+    let decoded = decode_snapshot(&bytes);
+    report.figure(
+        "snapshot_decode_time",
+        began.elapsed().as_secs_f64() * MILLIS_PER_SECOND,
+        "ms",
+    );
+    report.require(decoded.is_ok(), "the snapshot cannot be decoded");
+}
+
+/// What one request looks up: route, digest, workspace, shares.
+fn measure_look_ups(report: &mut TrialReport, fold: &RecordFold, workspaces: usize, routes: usize) {
+    let config = fold.config();
+    let names: Vec<(String, String)> = (0..1_000)
+        .map(|index| {
+            let route = format!("{}/items/42", route_name(index * 7 % routes));
+            (route, key_name(index * 97 % workspaces))
+        })
+        .collect();
+    let began = Instant::now();
+    for index in 0..LOOK_UPS {
+        let (route, key) = &names[index % names.len()];
+        black_box(config.routes().find(route));
+        let workspace = config.workspace_of_key(&KeyDigest::of(key));
+        if let Some(workspace) = workspace {
+            let name = &config.workspace(workspace).name;
+            black_box(SharePlan::new(name, config.limit_of(workspace), SHARDS));
+        }
+    }
+    let nanos = began.elapsed().as_secs_f64() * NANOS_PER_SECOND / LOOK_UPS as f64;
+    report.figure("look_up_time", nanos, "ns a request");
+}
+
+fn changes(workspaces: usize, routes: usize) -> impl Iterator<Item = ConfigChange> {
+    let services = (0..SERVICES).map(|index| ConfigChange::PutService {
+        name: service_name(index).into(),
+        shed_is_not_run: true,
+    });
+    let routes = (0..routes).map(|index| ConfigChange::PutRoute {
+        prefix: route_name(index).into(),
+        service: service_name(index % SERVICES).into(),
+        access: RouteAccess::Keyed,
+    });
+    let workspaces = (0..workspaces).flat_map(|index| {
+        let name = format!("workspace-{index}");
+        [
+            ConfigChange::PutWorkspace {
+                name: name.as_str().into(),
+            },
+            ConfigChange::GrantKey {
+                digest: KeyDigest::of(&key_name(index)),
+                workspace: name.into(),
+            },
+        ]
+    });
+    services.chain(routes).chain(workspaces)
+}
+
+fn edit(id: u128, change: ConfigChange) -> FleetRecord {
+    FleetRecord::Edit(EditRecord {
+        id: EditId(id),
+        base: 0,
+        author: "measure".into(),
+        change,
+    })
+}
+
+fn service_name(index: usize) -> String {
+    format!("service-{index}")
+}
+
+fn route_name(index: usize) -> String {
+    format!("/area-{}/route-{index}", index % 40)
+}
+
+fn key_name(index: usize) -> String {
+    format!("key-{index}")
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> u64 {
+    let pages = std::fs::read_to_string("/proc/self/statm")
+        .ok()
+        .and_then(|text| text.split_whitespace().nth(1)?.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod call_outcome;
 pub mod demo_fleet;
 pub mod fleet_plan;
+pub mod fold_measure;
+pub mod host_measure;
 pub mod process_group;
 pub mod promise_check;
 pub mod scenario_calm;
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -10,6 +10,8 @@
 use compio::time::timeout;
 
 use crocushoist_trial::demo_fleet::run_demo;
+use crocushoist_trial::fold_measure::measure_fold;
+use crocushoist_trial::host_measure::measure_hosts;
 use crocushoist_trial::scenario_catalogue::SCENARIOS;
 use crocushoist_trial::scenario_catalogue::ScenarioEntry;
 use crocushoist_trial::trial_error::TrialError;
@@ -38,6 +40,27 @@
         #[arg(long)]
         seconds: Option<u64>,
     },
+    /// Measures a folded configuration.
+    MeasureFold {
+        /// Workspaces, each with a key.
+        #[arg(long, default_value_t = 98_000)]
+        workspaces: usize,
+        /// Routes.
+        #[arg(long, default_value_t = 9_800)]
+        routes: usize,
+    },
+    /// Measures what control costs in an idle fleet.
+    MeasureHosts {
+        /// Hosts.
+        #[arg(long, default_value_t = 44)]
+        hosts: usize,
+        /// Instances.
+        #[arg(long, default_value_t = 20)]
+        instances: usize,
+        /// Shards.
+        #[arg(long, default_value_t = 44)]
+        shards: u32,
+    },
     /// Runs a scenario.
     Run {
         /// Name of the scenario.
@@ -63,6 +86,15 @@
             ExitCode::SUCCESS
         }
         TrialCommand::Demo { seconds } => show_demo(seconds),
+        TrialCommand::MeasureFold { workspaces, routes } => {
+            measure_fold(workspaces, routes).print(false);
+            ExitCode::SUCCESS
+        }
+        TrialCommand::MeasureHosts {
+            hosts,
+            instances,
+            shards,
+        } => show_hosts(hosts, instances, shards),
         TrialCommand::Run {
             scenario,
             seed,
@@ -110,6 +142,22 @@
     }
 }
 
+fn show_hosts(hosts: usize, instances: usize, shards: u32) -> ExitCode {
+    let measured = compio::runtime::Runtime::new()
+        .map_err(TrialError::from)
+        .and_then(|runtime| runtime.block_on(measure_hosts(hosts, instances, shards)));
+    match measured {
+        Ok(report) => {
+            report.print(false);
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("crocushoist-trial: measure-hosts: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn find(name: &str) -> Result<ScenarioEntry, TrialError> {
     let near = SCENARIOS
         .iter()
