Bound the peers that a host asks for signs of life

Cause: every host asked every shard holder for a sign of life each 1.5 s. At 1400 hosts and 128 holders each holder would answer 933 such questions a second, about 200 KB/s.

Change: a host asks 24 peers, different ones for each host, for signs of life, its watched holders and its readers. It keeps a link to every holder for draws, asks it once a minute, sees a closed connection at once, and asks at once after a failed draw.

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -212,6 +212,9 @@
     };
     report.note(wait_millis, is_empty);
     let mut state = context.state.borrow_mut();
+    if answer.is_none() {
+        state.doubted.insert(holder);
+    }
     if state.epoch == epoch {
         state.dry.note(workspace, shard, now.plus(wait_millis), now);
     }
--- a/crates/daemon/src/host_state.rs
+++ b/crates/daemon/src/host_state.rs
@@ -4,7 +4,9 @@
 //! step and never across an await, so that each step sees and leaves a
 //! consistent state.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use crocushoist_coordination::AcceptanceTracker;
@@ -70,6 +72,8 @@
     pub listed: ListedHosts,
     /// Calls to the peers that are connected.
     pub links: HashMap<SocketAddr, PeerServiceClient>,
+    /// Peers that a draw did not reach, to be asked at once.
+    pub doubted: HashSet<SocketAddr>,
     /// Grants of other hosts that were closed here, by holder.
     pub closed: HashMap<SocketAddr, Vec<ClosedGrant>>,
     /// Records of hand-overs that were sent and not folded yet.
@@ -101,6 +105,7 @@
             pool: InstancePool::default(),
             listed: ListedHosts::default(),
             links: HashMap::new(),
+            doubted: HashSet::new(),
             closed: HashMap::new(),
             hand_overs: HashMap::new(),
             roles: PeerRoles::default(),
@@ -273,28 +278,44 @@
 
     /// Hosts that callers can be told, this one included unless it is stopping.
     pub fn alive_hosts(&self, now: ClockTime) -> Vec<HostAddress> {
-        let mut hosts: Vec<HostAddress> = self
-            .directory
-            .alive(now, ALIVE_MS)
-            .map(|(_, peer)| peer.address.clone())
-            .collect();
-        if !self.stopping {
-            hosts.push(self.own.address.clone());
-        }
-        hosts
+        let own = (!self.stopping).then(|| self.own.address.clone());
+        self.alive_peers(now)
+            .into_iter()
+            .map(|(_, address)| address.clone())
+            .chain(own)
+            .collect()
     }
 
     /// Incarnations that take part, this one included unless it is stopping.
     pub fn alive_incarnations(&self, now: ClockTime) -> Vec<IncarnationId> {
-        let mut alive: Vec<IncarnationId> = self
+        let own = (!self.stopping).then_some(self.own.incarnation);
+        self.alive_peers(now)
+            .into_iter()
+            .map(|(incarnation, _)| incarnation)
+            .chain(own)
+            .collect()
+    }
+
+    /// Peers that were heard lately, and holders that are connected and not known to be silent.
+    fn alive_peers(&self, now: ClockTime) -> BTreeMap<IncarnationId, &HostAddress> {
+        let mut alive: BTreeMap<IncarnationId, &HostAddress> = self
             .directory
             .alive(now, ALIVE_MS)
-            .map(|(incarnation, _)| incarnation)
+            .map(|(incarnation, peer)| (incarnation, &peer.address))
             .collect();
-        if !self.stopping {
-            alive.push(self.own.incarnation);
+        for holder in self.fold.table().holders() {
+            let address = &holder.address;
+            let is_connected = self.links.contains_key(&address.peers);
+            let is_asked_often = self.roles.is_asked_often(address.peers);
+            let is_leaving = self
+                .directory
+                .get(holder.incarnation)
+                .is_some_and(|peer| peer.leaving);
+            if is_connected && !is_asked_often && !is_leaving {
+                alive.insert(holder.incarnation, address);
+            }
         }
-        alive.sort_unstable();
+        alive.remove(&self.own.incarnation);
         alive
     }
 }
--- a/crates/daemon/src/peer_roles.rs
+++ b/crates/daemon/src/peer_roles.rs
@@ -3,6 +3,10 @@
 //! A few hosts of each data centre read the log; the others ask them. A few
 //! hosts watch each shard holder. Both are chosen by hash among the hosts
 //! that are alive, so that they follow every start and stop by themselves.
+//!
+//! Every host keeps a link to every shard holder, for draws; it asks only a
+//! bounded number of peers for signs of life, so that neither cost grows with
+//! the number of hosts.
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -19,12 +23,13 @@
 const LIST_READ_MS: u64 = 1_000;
 const LIST_FALLBACK_MS: u64 = 2_500;
 const READERS_PER_DATA_CENTRE: usize = 3;
-const MAX_LINKS: usize = 192;
+const SAMPLED_PEERS: usize = 24;
 const HURRIED_PULL_MS: u64 = 60;
 const MAJORITY_PULL_MS: u64 = 250;
 const SOURCE_PULL_MS: u64 = 200;
 const WATCH_PULL_MS: u64 = 400;
 const IDLE_PULL_MS: u64 = 1_500;
+const HOLDER_PULL_MS: u64 = 60_000;
 
 /// What this host does for its peers and asks of them.
 #[derive(Clone, Debug, Default)]
@@ -39,6 +44,7 @@
     pub linked: HashSet<SocketAddr>,
     sources: HashSet<SocketAddr>,
     watched: HashSet<SocketAddr>,
+    sampled: HashSet<SocketAddr>,
     holders: HashSet<SocketAddr>,
 }
 
@@ -68,6 +74,7 @@
         let is_first = readers
             .first()
             .is_some_and(|(incarnation, _)| *incarnation == own.incarnation);
+        let sampled = sampled_peers(state);
         let asks_itself = age > timing::READ_SELF_MS;
         PeerRoles {
             is_reader: is_reader || asks_itself,
@@ -77,16 +84,22 @@
                 LIST_FALLBACK_MS
             },
             asks_majority: asks_itself || (is_reader && age > timing::ASK_MAJORITY_MS),
-            linked: linked_peers(state, &holders),
+            linked: sampled.union(&holders).copied().collect(),
+            sampled,
             sources,
             watched: watched_holders(state, now),
             holders,
         }
     }
 
+    /// Whether the peer at `address` is asked so often that its silence tells.
+    pub fn is_asked_often(&self, address: SocketAddr) -> bool {
+        self.pull_interval(address, false) <= IDLE_PULL_MS
+    }
+
     /// Whether questions at this interval are only signs of life.
     pub fn is_idle(interval: u64) -> bool {
-        interval == IDLE_PULL_MS
+        interval >= IDLE_PULL_MS
     }
 
     /// Milliseconds between questions to the peer at `address`.
@@ -104,7 +117,10 @@
         if self.watched.contains(&address) {
             return WATCH_PULL_MS;
         }
-        IDLE_PULL_MS
+        if self.sampled.contains(&address) {
+            return IDLE_PULL_MS;
+        }
+        HOLDER_PULL_MS
     }
 }
 
@@ -135,7 +151,8 @@
         .collect()
 }
 
-fn linked_peers(state: &HostState, holders: &HashSet<SocketAddr>) -> HashSet<SocketAddr> {
+/// The peers that this host asks for signs of life, different ones for each host.
+fn sampled_peers(state: &HostState) -> HashSet<SocketAddr> {
     let own = state.own.address.peers;
     let known = state.directory.iter().map(|(_, peer)| peer.address.peers);
     let mut others: Vec<SocketAddr> = state
@@ -145,16 +162,11 @@
         .filter(|host| host.role == HostListing::ENTRY_ROLE)
         .map(|host| host.address)
         .chain(known)
-        .filter(|address| *address != own && !holders.contains(address))
+        .filter(|address| *address != own)
         .collect();
     others.sort_unstable();
     others.dedup();
-    let room = MAX_LINKS.saturating_sub(holders.len());
-    let skip = (state.own.incarnation.0 as usize) % others.len().max(1);
-    let spread = others
-        .iter()
-        .cycle()
-        .skip(skip)
-        .take(room.min(others.len()));
-    holders.iter().chain(spread).copied().collect()
+    let count = SAMPLED_PEERS.min(others.len());
+    let skip = others.partition_point(|address| *address < own);
+    others.into_iter().cycle().skip(skip).take(count).collect()
 }
--- a/crates/daemon/src/peer_tasks.rs
+++ b/crates/daemon/src/peer_tasks.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use compio::time::sleep;
+use futures_util::future::Either;
+use futures_util::future::select;
 use slog::warn;
 
 use crocushoist_protocol::decode_snapshot;
@@ -88,10 +90,14 @@
         let PullPlan { wait, hurried } = plan;
         if wait > 0 {
             let tick = if hurried { HURRIED_TICK_MS } else { TICK_MS };
-            sleep(Duration::from_millis(tick.min(wait))).await;
+            let tick = Box::pin(sleep(Duration::from_millis(tick.min(wait))));
+            if let Either::Right(_) = select(tick, link.closed()).await {
+                return;
+            }
             continue;
         }
         asked_at = Some(now);
+        context.state.borrow_mut().doubted.remove(&address);
         if !pull(context, link).await {
             context.metrics.pull_failures.inc();
             return;
@@ -117,6 +123,12 @@
     if !state.roles.linked.contains(&address) {
         return None;
     }
+    if state.doubted.contains(&address) {
+        return Some(PullPlan {
+            wait: 0,
+            hurried: false,
+        });
+    }
     let hurried = state.is_hurrying(now);
     let interval = state.roles.pull_interval(address, hurried);
     let since = match state.directory.at(address) {
--- a/crates/daemon/src/shard_keeper.rs
+++ b/crates/daemon/src/shard_keeper.rs
@@ -24,6 +24,7 @@
 use crate::hand_over::resend_hand_overs;
 use crate::host_context::HostContext;
 use crate::host_context::SharedContext;
+use crate::host_state::ALIVE_MS;
 use crate::host_state::HostState;
 use crate::log_reader::read_to_tail;
 
@@ -202,7 +203,7 @@
     let held = table.held_by(state.own.incarnation);
     let (receiver, fewest) = state
         .directory
-        .alive(now, crate::host_state::ALIVE_MS)
+        .alive(now, ALIVE_MS)
         .map(|(incarnation, _)| (incarnation, table.held_by(incarnation).len()))
         .min_by_key(|(incarnation, count)| (*count, *incarnation))?;
     let shard = held
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -33,6 +33,7 @@
 pub use peer_link::serve_peers;
 pub use platform_client::HostListClient;
 pub use platform_client::LogClient;
+pub use stop_signal::RaisedFuture;
 pub use stop_signal::StopSignal;
 pub use transport_error::TransportError;
 pub use upstream_connection::AttemptFailure;
--- a/crates/transport/src/peer_link.rs
+++ b/crates/transport/src/peer_link.rs
@@ -26,6 +26,8 @@
 
 use crate::ByteMeter;
 use crate::CountedStream;
+use crate::RaisedFuture;
+use crate::StopSignal;
 use crate::TransportError;
 use crate::connect_from;
 
@@ -35,6 +37,7 @@
 #[derive(Debug)]
 pub struct PeerLink {
     client: PeerServiceClient,
+    ended: StopSignal,
     _task: JoinHandle<()>,
 }
 
@@ -50,11 +53,15 @@
         let transport = tarpc::serde_transport::new(frame(stream, meter), Bincode::default());
         let client::NewClient { client, dispatch } =
             PeerServiceClient::new(client::Config::default(), transport);
+        let ended = StopSignal::default();
+        let signal = ended.clone();
         let task = compio::runtime::spawn(async move {
             let _ = dispatch.await;
+            signal.raise();
         });
         Ok(PeerLink {
             client,
+            ended,
             _task: task,
         })
     }
@@ -64,6 +71,11 @@
         self.client.clone()
     }
 
+    /// Waits until the connection has ended.
+    pub fn closed(&self) -> RaisedFuture {
+        self.ended.raised()
+    }
+
     /// Context of a call that is given up after `millis` milliseconds.
     pub fn context(millis: u64) -> Context {
         let mut context = tarpc::context::current();
