Judge instances by the evidence of all hosts together

Cause: each host alone sees too few requests of an instance to tell a gray one soon, and twenty hosts that probe or guess apart can eject too many.

Change: every service has a home among the shard holders, chosen by hash. Hosts report bad evidence within 200 ms and good evidence each second; the answer brings the verdicts. The home compares an instance with the others of its service, so slowness of all ejects nobody; evidence from one data centre alone is a fault of the path. The floor is checked at the home before each ejection and again by each host before it follows a verdict; leaving, ejected, avoided and cold instances are not healthy. Return is by a trickle of real requests; ejections soon after another last longer. [routing] policy switches to each host's own evidence or to round robin as baselines.

Ruled out: one home an instance, because the floor is a matter of the service and would then be checked at several places.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -19,6 +19,7 @@
 mod peer_directory;
 mod record_fold;
 mod record_tail;
+mod service_judge;
 mod share_ledger;
 mod steering_plan;
 
@@ -39,6 +40,9 @@
 pub use record_fold::EditOutcome;
 pub use record_fold::RecordFold;
 pub use record_tail::RecordTail;
+pub use service_judge::EjectionReason;
+pub use service_judge::JudgedMember;
+pub use service_judge::ServiceJudge;
 pub use share_ledger::BucketAmounts;
 pub use share_ledger::ShardOffer;
 pub use share_ledger::ShareLedger;
--- a/crates/daemon/src/admin_server.rs
+++ b/crates/daemon/src/admin_server.rs
@@ -20,6 +20,7 @@
 use crocushoist_protocol::ConfigReport;
 use crocushoist_protocol::EditCall;
 use crocushoist_protocol::EditFailure;
+use crocushoist_protocol::EjectionReport;
 use crocushoist_protocol::ExceptionReport;
 use crocushoist_protocol::HostReport;
 use crocushoist_protocol::InstanceReport;
@@ -147,6 +148,7 @@
         peers: peer_reports(&state, now),
         shards: shard_reports(&state),
         instances: instance_reports(&state, now),
+        ejections: ejection_reports(&state),
         exceptions: exception_reports(&state),
         answered: context.metrics.answered(),
         refusals: context.metrics.refusals(),
@@ -223,17 +225,33 @@
             data_centre: instance.data_centre.clone(),
             state: if instance.leaving {
                 "leaving".into()
+            } else if instance.is_ejected(now) {
+                "ejected".into()
             } else if instance.avoided_until > now {
                 "avoided".into()
             } else {
                 "live".into()
             },
-            outstanding: instance.outstanding,
+            outstanding: instance.outstanding() as u32,
             latency_micros: instance.latency_micros,
         })
         .collect()
 }
 
+fn ejection_reports(state: &HostState) -> Vec<EjectionReport> {
+    let judged = state.judges.iter().flat_map(|(service, judge)| {
+        judge
+            .ejections()
+            .map(move |(address, reason, count)| EjectionReport {
+                service: service.clone(),
+                address,
+                reason: reason.name().into(),
+                count,
+            })
+    });
+    judged.collect()
+}
+
 fn exception_reports(state: &HostState) -> Vec<ExceptionReport> {
     state
         .fold
--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -116,8 +116,14 @@
     }
 
     async fn attempt(&mut self, body: ForwardBody) -> Result<Response<AnswerBody>, AttemptEnd> {
-        let (instance, address) = self.choose_instance().map_err(AttemptEnd::Final)?;
-        let slot = InstanceSlot::new(self.context, instance, self.admitted.floor_percent);
+        let taken_at = ClockTime::now();
+        let (instance, address) = self.choose_instance(taken_at).map_err(AttemptEnd::Final)?;
+        let slot = InstanceSlot::new(
+            self.context,
+            instance,
+            taken_at,
+            self.admitted.floor_percent,
+        );
         let mut connection = match self.context.upstreams.get(address, CONNECT_MS).await {
             Ok(connection) => connection,
             Err(_) => {
@@ -160,13 +166,13 @@
         self.take_answer(slot, connection, &attempt, response, replay)
     }
 
-    fn choose_instance(&mut self) -> Result<(InstanceId, SocketAddr), Refusal> {
+    fn choose_instance(&mut self, now: ClockTime) -> Result<(InstanceId, SocketAddr), Refusal> {
         let mut state = self.context.state.borrow_mut();
         let draws = (rand::random(), rand::random());
         let chosen = state.pool.choose(
             &self.admitted.service,
             &self.context.settings.data_centre,
-            ClockTime::now(),
+            now,
             draws,
             &self.tried,
         );
@@ -348,17 +354,24 @@
     context: SharedContext,
     instance: InstanceId,
     floor_percent: u32,
-    taken_at: Instant,
+    taken_at: ClockTime,
+    started: Instant,
     given_back: bool,
 }
 
 impl InstanceSlot {
-    fn new(context: &SharedContext, instance: InstanceId, floor_percent: u32) -> Self {
+    fn new(
+        context: &SharedContext,
+        instance: InstanceId,
+        taken_at: ClockTime,
+        floor_percent: u32,
+    ) -> Self {
         InstanceSlot {
             context: Rc::clone(context),
             instance,
             floor_percent,
-            taken_at: Instant::now(),
+            taken_at,
+            started: Instant::now(),
             given_back: false,
         }
     }
@@ -368,16 +381,19 @@
         let mut state = self.context.state.borrow_mut();
         state
             .pool
-            .succeed(self.instance, latency.as_micros() as u64);
+            .succeed(self.instance, self.taken_at, latency.as_micros() as u64);
     }
 
     fn fail(mut self) {
         self.given_back = true;
         let mut state = self.context.state.borrow_mut();
         let address = state.pool.get(self.instance).address;
-        state
-            .pool
-            .fail(self.instance, ClockTime::now(), self.floor_percent);
+        state.pool.fail(
+            self.instance,
+            self.taken_at,
+            ClockTime::now(),
+            self.floor_percent,
+        );
         self.context.upstreams.forget(address);
     }
 
@@ -393,7 +409,11 @@
 impl Drop for InstanceSlot {
     fn drop(&mut self) {
         if !self.given_back {
-            self.context.state.borrow_mut().pool.release(self.instance);
+            self.context
+                .state
+                .borrow_mut()
+                .pool
+                .release(self.instance, self.taken_at);
         }
     }
 }
@@ -405,19 +425,20 @@
     connection: UpstreamConnection,
     response: Response<Incoming>,
 ) -> Response<AnswerBody> {
-    let latency = slot.taken_at.elapsed();
+    let latency = slot.started.elapsed();
+    let is_error = response.status().is_server_error();
     let upstreams = context.upstreams.clone();
     let (mut head, body) = response.into_parts();
     head.headers = without_hop_headers(&head.headers);
     head.headers.remove(headers::UPSTREAM_STATE);
     head.headers.remove(headers::ATTEMPT);
     let completion = move |whole: bool| {
-        if whole {
-            slot.succeed(latency);
-            upstreams.put(connection);
-        } else {
-            drop(connection);
+        match (whole, is_error) {
+            (true, false) => slot.succeed(latency),
+            (true, true) => slot.fail(),
+            (false, _) => return,
         }
+        upstreams.put(connection);
     };
     Response::from_parts(head, AnswerBody::relayed(body, completion))
 }
--- a/crates/daemon/src/host_context.rs
+++ b/crates/daemon/src/host_context.rs
@@ -69,7 +69,11 @@
             ended: false,
         };
         HostContext {
-            state: RefCell::new(HostState::new(own, settings.shard_count)),
+            state: RefCell::new(HostState::new(
+                own,
+                settings.shard_count,
+                settings.routing_policy,
+            )),
             metrics: HostMetrics::default(),
             upstreams: UpstreamPool::new(Some(settings.callers.ip())),
             retries: RefCell::default(),
--- a/crates/daemon/src/host_daemon.rs
+++ b/crates/daemon/src/host_daemon.rs
@@ -13,6 +13,7 @@
 
 use crate::admin_server::answer_admin;
 use crate::admission::send_closed_grants;
+use crate::evidence_exchange::exchange_evidence;
 use crate::host_context::HostContext;
 use crate::host_context::SharedContext;
 use crate::host_list_reader::read_host_list;
@@ -76,6 +77,7 @@
     spawn(read_log(Rc::clone(&context)));
     spawn(keep_shards(Rc::clone(&context)));
     spawn(write_snapshots(Rc::clone(&context)));
+    spawn(exchange_evidence(Rc::clone(&context)));
     spawn(send_closed_grants(Rc::clone(&context)));
     let for_admin = Rc::clone(&context);
     spawn(serve_http(
--- a/crates/daemon/src/host_list_reader.rs
+++ b/crates/daemon/src/host_list_reader.rs
@@ -52,6 +52,7 @@
     if !state.listed.take(hosts, read_at) {
         return;
     }
+    let now = ClockTime::now();
     let is_instance = |host: &&ListedHost| host.role != HostListing::ENTRY_ROLE;
     let instances = || state.listed.hosts().iter().filter(is_instance);
     let listed: HashSet<SocketAddr> = instances().map(|host| host.address).collect();
@@ -59,7 +60,7 @@
         let leaving = host.state == ListedState::Leaving;
         state
             .pool
-            .note(&host.role, host.address, &host.data_centre, leaving);
+            .note(&host.role, host.address, &host.data_centre, leaving, now);
     }
-    state.pool.retain_listed(|address| listed.contains(address));
+    state.pool.end_listing(|address| listed.contains(address));
 }
--- a/crates/daemon/src/host_metrics.rs
+++ b/crates/daemon/src/host_metrics.rs
@@ -80,6 +80,8 @@
     pub crossed_answers: Counter,
     /// Snapshots written.
     pub snapshots: Counter,
+    /// Reports of evidence that no home took.
+    pub report_failures: Counter,
 }
 
 impl Default for HostMetrics {
@@ -99,6 +101,7 @@
             reclaims: Counter::default(),
             crossed_answers: Counter::default(),
             snapshots: Counter::default(),
+            report_failures: Counter::default(),
         };
         metrics.register();
         metrics
@@ -217,6 +220,11 @@
                 &self.crossed_answers,
             ),
             ("snapshots", "Snapshots written", &self.snapshots),
+            (
+                "report_failures",
+                "Reports of evidence that no home took",
+                &self.report_failures,
+            ),
         ];
         for (name, help, counter) in counters {
             self.registry.register(name, help, counter.clone());
--- a/crates/daemon/src/host_settings.rs
+++ b/crates/daemon/src/host_settings.rs
@@ -9,6 +9,8 @@
 use compact_str::CompactString;
 use ini::Ini;
 
+use crocushoist_state::RoutingPolicy;
+
 use crate::settings_error::SettingsError;
 
 const ADDRESS: &str = "an IP number and a port, as 10.0.0.1:7000";
@@ -16,10 +18,11 @@
 const SHARDS: &str = "a whole number from 1 to 1024, the same on every host";
 const RECORDS: &str = "a whole number from 1 to 1000000";
 const MILLIS: &str = "milliseconds, a whole number from 100 to 86400000";
+const POLICIES: &str = "shared, own or round-robin";
 const LEVELS: &str = "error, warning, info or debug";
 
 /// Every setting: section, name, initial value, what is allowed.
-pub const DECLARED: [(&str, &str, Option<&str>, &str); 12] = [
+pub const DECLARED: [(&str, &str, Option<&str>, &str); 13] = [
     ("host", "callers", None, ADDRESS),
     ("host", "peers", None, ADDRESS),
     ("host", "admin", None, ADDRESS),
@@ -31,6 +34,7 @@
     ("fleet", "shards", Some("44"), SHARDS),
     ("snapshot", "every-records", Some("1000"), RECORDS),
     ("snapshot", "every-ms", Some("600000"), MILLIS),
+    ("routing", "policy", Some("shared"), POLICIES),
     ("log", "level", Some("info"), LEVELS),
 ];
 
@@ -59,6 +63,8 @@
     pub snapshot_records: u64,
     /// Milliseconds after which a snapshot is written.
     pub snapshot_millis: u64,
+    /// How instances are chosen and taken out of use.
+    pub routing_policy: RoutingPolicy,
     /// Level of the log lines.
     pub log_level: slog::Level,
 }
@@ -114,6 +120,7 @@
         let millis = self.parse_with("snapshot", "every-ms", |text| {
             parse_range(text, 100, 86_400_000)
         });
+        let routing_policy = self.parse("routing", "policy");
         let log_level = self.parse_with("log", "level", parse_level);
         Some(HostSettings {
             callers: callers?,
@@ -127,6 +134,7 @@
             shard_count: shard_count? as u32,
             snapshot_records: records?,
             snapshot_millis: millis?,
+            routing_policy: routing_policy?,
             log_level: log_level?,
         })
     }
--- a/crates/daemon/src/host_state.rs
+++ b/crates/daemon/src/host_state.rs
@@ -9,6 +9,8 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
+use compact_str::CompactString;
+
 use crocushoist_coordination::AcceptanceTracker;
 use crocushoist_coordination::DryShares;
 use crocushoist_coordination::FreshnessTracker;
@@ -17,6 +19,7 @@
 use crocushoist_coordination::PeerState;
 use crocushoist_coordination::RecordFold;
 use crocushoist_coordination::RecordTail;
+use crocushoist_coordination::ServiceJudge;
 use crocushoist_coordination::ShardClaim;
 use crocushoist_coordination::ShareLedger;
 use crocushoist_coordination::TokenDenial;
@@ -32,6 +35,7 @@
 use crocushoist_state::HostAddress;
 use crocushoist_state::IncarnationId;
 use crocushoist_state::InstancePool;
+use crocushoist_state::RoutingPolicy;
 use crocushoist_state::ShardHolder;
 use crocushoist_state::ShardId;
 use crocushoist_state::SharePlan;
@@ -68,6 +72,8 @@
     pub dry: DryShares,
     /// Instances of the services.
     pub pool: InstancePool,
+    /// Judges of the services that this host is the home of.
+    pub judges: HashMap<CompactString, ServiceJudge>,
     /// Newest listing of hosts.
     pub listed: ListedHosts,
     /// Calls to the peers that are connected.
@@ -91,7 +97,7 @@
 
 impl HostState {
     /// State of a host that just started.
-    pub fn new(own: ShardHolder, shard_count: u32) -> Self {
+    pub fn new(own: ShardHolder, shard_count: u32, policy: RoutingPolicy) -> Self {
         HostState {
             ledger: ShareLedger::new(own.incarnation),
             own,
@@ -102,7 +108,8 @@
             directory: PeerDirectory::default(),
             watch: HolderWatch::default(),
             dry: DryShares::default(),
-            pool: InstancePool::default(),
+            pool: InstancePool::new(policy),
+            judges: HashMap::new(),
             listed: ListedHosts::default(),
             links: HashMap::new(),
             doubted: HashSet::new(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod address_desk;
 mod admin_server;
 mod edit_desk;
+mod evidence_exchange;
 mod forwarding;
 mod hand_over;
 mod host_list_reader;
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -7,12 +7,14 @@
 use crocushoist_protocol::ClosedGrant;
 use crocushoist_protocol::DrawAnswer;
 use crocushoist_protocol::DrawRequest;
+use crocushoist_protocol::EvidenceReport;
 use crocushoist_protocol::ListingAnswer;
 use crocushoist_protocol::OfferRequest;
 use crocushoist_protocol::PeerService;
 use crocushoist_protocol::PullAnswer;
 use crocushoist_protocol::PullRequest;
 use crocushoist_protocol::SnapshotAnswer;
+use crocushoist_protocol::VerdictAnswer;
 use crocushoist_protocol::encode_snapshot;
 use crocushoist_state::ClockTime;
 use crocushoist_state::GrantId;
@@ -20,6 +22,7 @@
 use crocushoist_state::OfferId;
 use crocushoist_state::ShardId;
 
+use crate::evidence_exchange::judge_report;
 use crate::host_context::SharedContext;
 
 /// Answers the calls of peers.
@@ -76,6 +79,11 @@
         }
     }
 
+    async fn report(self, _: Context, report: EvidenceReport) -> VerdictAnswer {
+        let mut state = self.context.state.borrow_mut();
+        judge_report(&mut state, &report, ClockTime::now())
+    }
+
     async fn offer(self, _: Context, request: OfferRequest) -> bool {
         let now = ClockTime::now();
         let mut state = self.context.state.borrow_mut();
--- a/crates/daemon/tests/agreement.rs
+++ b/crates/daemon/tests/agreement.rs
@@ -32,6 +32,7 @@
 use crocushoist_state::HostAddress;
 use crocushoist_state::IncarnationId;
 use crocushoist_state::OfferId;
+use crocushoist_state::RoutingPolicy;
 use crocushoist_state::SettingName;
 use crocushoist_state::ShardHolder;
 use crocushoist_state::ShardId;
@@ -168,7 +169,7 @@
             },
             ended: false,
         };
-        HostState::new(own, SHARDS)
+        HostState::new(own, SHARDS, RoutingPolicy::Shared)
     }
 
     fn append(&mut self, record: &FleetRecord) {
--- a/crates/daemon/tests/draws.rs
+++ b/crates/daemon/tests/draws.rs
@@ -14,6 +14,7 @@
 use crocushoist_state::ConfigChange;
 use crocushoist_state::HostAddress;
 use crocushoist_state::IncarnationId;
+use crocushoist_state::RoutingPolicy;
 use crocushoist_state::ShardHolder;
 use crocushoist_state::ShardId;
 use crocushoistd::host_state::HostState;
@@ -45,7 +46,7 @@
         to: Some(own.clone()),
         offer: None,
     });
-    let mut state = HostState::new(own, 1);
+    let mut state = HostState::new(own, 1, RoutingPolicy::Shared);
     let read_at = ClockTime::from_millis(100_000);
     state.absorb(
         0,
--- a/crates/protocol/src/peer_service.rs
+++ b/crates/protocol/src/peer_service.rs
@@ -1,9 +1,13 @@
 //! Calls between hosts.
 
+use std::net::SocketAddr;
+
 use compact_str::CompactString;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crocushoist_state::InstanceEvidence;
+
 use crate::ListedHost;
 use crate::WireHolder;
 
@@ -124,6 +128,64 @@
     pub amounts: Vec<OfferedAmounts>,
 }
 
+/// What a host saw of one instance since its last report.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct WireEvidence {
+    /// Where the instance listens.
+    pub address: SocketAddr,
+    /// Whole answers.
+    pub succeeded: u32,
+    /// Errors, cut, crossed or missing answers.
+    pub failed: u32,
+    /// Slow answers among the whole ones.
+    pub slow: u32,
+    /// Sum of the latencies of whole answers in microseconds.
+    pub latency_sum: u64,
+}
+
+/// Reports evidence to the home of a service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EvidenceReport {
+    /// Name of the service.
+    pub service: CompactString,
+    /// Data centre of the reporting host.
+    pub data_centre: CompactString,
+    /// Evidence by instance.
+    pub evidence: Vec<WireEvidence>,
+}
+
+/// What the home of a service decided.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VerdictAnswer {
+    /// Instances that are not wholly in use with their weights, the worst first.
+    pub verdicts: Vec<(SocketAddr, u8)>,
+    /// Median over the instances of their mean latency in microseconds.
+    pub typical_micros: u64,
+}
+
+impl From<(SocketAddr, InstanceEvidence)> for WireEvidence {
+    fn from((address, evidence): (SocketAddr, InstanceEvidence)) -> Self {
+        WireEvidence {
+            address,
+            succeeded: evidence.succeeded,
+            failed: evidence.failed,
+            slow: evidence.slow,
+            latency_sum: evidence.latency_sum,
+        }
+    }
+}
+
+impl From<&WireEvidence> for InstanceEvidence {
+    fn from(evidence: &WireEvidence) -> Self {
+        InstanceEvidence {
+            succeeded: evidence.succeeded,
+            failed: evidence.failed,
+            slow: evidence.slow,
+            latency_sum: evidence.latency_sum,
+        }
+    }
+}
+
 /// Calls that each host answers to its peers.
 #[tarpc::service]
 pub trait PeerService {
@@ -137,6 +199,8 @@
     async fn draw(request: DrawRequest) -> DrawAnswer;
     /// Closes grants of shares held here.
     async fn close(grants: Vec<ClosedGrant>);
+    /// Takes evidence as the home of a service and answers its verdicts.
+    async fn report(report: EvidenceReport) -> VerdictAnswer;
     /// Takes over a shard; whether it will.
     async fn offer(request: OfferRequest) -> bool;
     /// Milliseconds since `incarnation` last answered this host, `None` if it never did.
--- a/crates/protocol/src/status_report.rs
+++ b/crates/protocol/src/status_report.rs
@@ -49,7 +49,7 @@
     pub address: SocketAddr,
     /// Data centre.
     pub data_centre: CompactString,
-    /// `live`, `leaving` or `avoided`.
+    /// `live`, `leaving`, `ejected` or `avoided`.
     pub state: CompactString,
     /// Requests of the answering host that it is working on.
     pub outstanding: u32,
@@ -57,6 +57,19 @@
     pub latency_micros: u64,
 }
 
+/// Ejections that the answering host decided as the home of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EjectionReport {
+    /// Service of the instance.
+    pub service: CompactString,
+    /// Where the instance listens.
+    pub address: SocketAddr,
+    /// Why it was ejected.
+    pub reason: CompactString,
+    /// Number since start.
+    pub count: u64,
+}
+
 /// One exception.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExceptionReport {
@@ -102,6 +115,8 @@
     pub shards: Vec<ShardReport>,
     /// Instances.
     pub instances: Vec<InstanceReport>,
+    /// Ejections that the answering host decided.
+    pub ejections: Vec<EjectionReport>,
     /// Exceptions that stand.
     pub exceptions: Vec<ExceptionReport>,
     /// Requests answered by an upstream.
--- a/crates/state/src/instance_pool.rs
+++ b/crates/state/src/instance_pool.rs
@@ -2,9 +2,12 @@
 //!
 //! The choice takes the better of two random candidates by expected finish:
 //! requests outstanding from this host times the smoothed latency, with a
-//! penalty for another data centre. An instance that failed several times in
-//! a row is avoided for a while by this host alone, unless that would leave
-//! fewer usable instances than the floor.
+//! penalty for another data centre. An instance is out of use while it leaves,
+//! while the evidence of all hosts together ejects it, or while this host
+//! alone avoids it after several failures in a row.
+//!
+//! Invariant: ejecting and avoiding never leave fewer healthy instances than
+//! the floor. Leaving, ejected, avoided and cold instances are not healthy.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,16 +17,26 @@
 use cranelift_entity::entity_impl;
 
 use crate::ClockTime;
+use crate::InstanceEvidence;
+use crate::InstanceVerdict;
+use crate::RoutingPolicy;
 use crate::breach;
 use crate::breach::BreachKind;
 
-const SLOTS_PER_INSTANCE: u32 = 3;
+const SLOTS_PER_INSTANCE: usize = 3;
 const FAILURES_TO_AVOID: u32 = 3;
 const FIRST_AVOID_MS: u64 = 1_000;
 const MAX_AVOID_MS: u64 = 30_000;
+const COLD_MS: u64 = 2_000;
+const VERDICT_LIFE_MS: u64 = 3_000;
 const OTHER_DATA_CENTRE_MICROS: u64 = 2_000;
 const INITIAL_LATENCY_MICROS: u64 = 2_000;
 const LATENCY_WEIGHT: u64 = 8;
+const SLOW_FACTOR: u64 = 3;
+const STUCK_FACTOR: u64 = 20;
+const LEAST_STUCK_MS: u64 = 250;
+const MICROS_PER_MILLI: u64 = 1_000;
+const WHOLE_WEIGHT: u8 = 100;
 
 /// Instance of a service.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -39,51 +52,139 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: CompactString,
-    /// Whether it takes new work.
+    /// Whether it takes no new work.
     pub leaving: bool,
-    /// Requests of this host that it is working on.
-    pub outstanding: u32,
     /// Smoothed latency in microseconds.
     pub latency_micros: u64,
-    /// Failures since the last success.
-    pub failures: u32,
     /// Until when this host avoids it.
     pub avoided_until: ClockTime,
+    working: Vec<WorkingRequest>,
+    failures: u32,
     avoid_millis: u64,
+    cold_until: ClockTime,
+    weight: u8,
+    verdict_until: ClockTime,
+    evidence: InstanceEvidence,
+}
+
+/// Request that an instance is working on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct WorkingRequest {
+    taken_at: ClockTime,
+    counted_stuck: bool,
+}
+
+impl InstanceState {
+    /// Requests of this host that it is working on.
+    pub fn outstanding(&self) -> usize {
+        self.working.len()
+    }
+
+    /// Whether the evidence of all hosts together ejects it.
+    pub fn is_ejected(&self, now: ClockTime) -> bool {
+        self.weight == 0 && self.verdict_until > now
+    }
+
+    /// Whether this host may send it requests.
+    pub fn is_usable(&self, now: ClockTime) -> bool {
+        !self.leaving && self.avoided_until <= now && !self.is_ejected(now)
+    }
+
+    /// Whether it counts towards the floor.
+    pub fn is_healthy(&self, now: ClockTime) -> bool {
+        self.is_usable(now) && self.cold_until <= now
+    }
+
+    /// Share of its requests in percent that it gets after an ejection.
+    fn current_weight(&self, now: ClockTime) -> u8 {
+        if self.verdict_until > now {
+            self.weight
+        } else {
+            WHOLE_WEIGHT
+        }
+    }
+
+    fn release(&mut self, taken_at: ClockTime) {
+        let index = self
+            .working
+            .iter()
+            .position(|request| request.taken_at == taken_at);
+        if let Some(index) = index {
+            self.working.swap_remove(index);
+        }
+    }
+}
+
+/// Members of one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceMembers {
+    instances: Vec<InstanceId>,
+    typical_micros: u64,
+    turn: usize,
 }
 
 /// Instances of every service.
 #[derive(Clone, Debug, Default)]
 pub struct InstancePool {
+    policy: RoutingPolicy,
     instances: PrimaryMap<InstanceId, InstanceState>,
     by_address: HashMap<SocketAddr, InstanceId>,
-    by_service: HashMap<CompactString, Vec<InstanceId>>,
+    by_service: HashMap<CompactString, ServiceMembers>,
+    has_listing: bool,
 }
 
 impl InstancePool {
+    /// Pool that chooses by `policy`.
+    pub fn new(policy: RoutingPolicy) -> Self {
+        InstancePool {
+            policy,
+            ..InstancePool::default()
+        }
+    }
+
     /// Adds or updates the instance at `address`.
-    pub fn note(&mut self, service: &str, address: SocketAddr, data_centre: &str, leaving: bool) {
+    ///
+    /// An instance that appears after the first listing is cold for a while.
+    pub fn note(
+        &mut self,
+        service: &str,
+        address: SocketAddr,
+        data_centre: &str,
+        leaving: bool,
+        now: ClockTime,
+    ) {
         if let Some(id) = self.by_address.get(&address) {
             self.instances[*id].leaving = leaving;
             return;
         }
+        let cold_until = if self.has_listing {
+            now.plus(COLD_MS)
+        } else {
+            ClockTime::default()
+        };
         let id = self.instances.push(InstanceState {
             service: service.into(),
             address,
             data_centre: data_centre.into(),
             leaving,
-            outstanding: 0,
             latency_micros: INITIAL_LATENCY_MICROS,
-            failures: 0,
             avoided_until: ClockTime::default(),
+            working: Vec::new(),
+            failures: 0,
             avoid_millis: FIRST_AVOID_MS,
+            cold_until,
+            weight: WHOLE_WEIGHT,
+            verdict_until: ClockTime::default(),
+            evidence: InstanceEvidence::default(),
         });
         self.by_address.insert(address, id);
-        self.by_service.entry(service.into()).or_default().push(id);
+        let members = self.by_service.entry(service.into()).or_default();
+        members.instances.push(id);
     }
 
-    /// Marks every instance that `is_listed` does not name as leaving.
-    pub fn retain_listed(&mut self, is_listed: impl Fn(&SocketAddr) -> bool) {
+    /// Ends a listing: every instance that `is_listed` does not name is leaving.
+    pub fn end_listing(&mut self, is_listed: impl Fn(&SocketAddr) -> bool) {
+        self.has_listing = true;
         for instance in self.instances.values_mut() {
             instance.leaving |= !is_listed(&instance.address);
         }
@@ -104,6 +205,15 @@
         self.instances.iter()
     }
 
+    /// Instances of `service`.
+    pub fn members(&self, service: &str) -> impl Iterator<Item = &InstanceState> {
+        let members = self.by_service.get(service);
+        members
+            .into_iter()
+            .flat_map(|members| members.instances.iter())
+            .map(|id| &self.instances[*id])
+    }
+
     /// Takes a slot of an instance of `service`, or `None` when none is free.
     ///
     /// `draws` are two random numbers; `tried` is never chosen again.
@@ -115,87 +225,188 @@
         draws: (u64, u64),
         tried: &[InstanceId],
     ) -> Option<InstanceId> {
-        let usable: Vec<InstanceId> = self
-            .by_service
-            .get(service)?
-            .iter()
-            .copied()
-            .filter(|id| self.has_room(*id, now) && !tried.contains(id))
-            .collect();
+        let usable = self.candidates(service, now, draws.0, tried);
         if usable.is_empty() {
             return None;
         }
-        let count = usable.len() as u64;
-        let first = usable[(draws.0 % count) as usize];
-        let second = usable[(draws.1 % count) as usize];
-        let chosen = if self.cost(second, data_centre) < self.cost(first, data_centre) {
-            second
-        } else {
-            first
+        let chosen = match self.policy {
+            RoutingPolicy::RoundRobin => {
+                let members = self.by_service.get_mut(service)?;
+                members.turn += 1;
+                usable[members.turn % usable.len()]
+            }
+            RoutingPolicy::Shared | RoutingPolicy::Own => {
+                self.better_of_two(&usable, data_centre, draws)
+            }
         };
-        self.instances[chosen].outstanding += 1;
+        self.instances[chosen].working.push(WorkingRequest {
+            taken_at: now,
+            counted_stuck: false,
+        });
         Some(chosen)
     }
 
-    /// Gives the slot back after a success that took `micros`.
-    pub fn succeed(&mut self, id: InstanceId, micros: u64) {
+    /// Gives the slot taken at `taken_at` back after a success that took `micros`.
+    pub fn succeed(&mut self, id: InstanceId, taken_at: ClockTime, micros: u64) {
+        let typical = self.typical_of(id);
         let instance = &mut self.instances[id];
-        instance.outstanding = instance.outstanding.saturating_sub(1);
+        instance.release(taken_at);
         instance.failures = 0;
         instance.avoid_millis = FIRST_AVOID_MS;
         let kept = instance.latency_micros * (LATENCY_WEIGHT - 1);
         instance.latency_micros = (kept + micros) / LATENCY_WEIGHT;
+        instance.evidence.succeeded += 1;
+        instance.evidence.latency_sum += micros;
+        instance.evidence.slow += u32::from(typical > 0 && micros > typical * SLOW_FACTOR);
     }
 
-    /// Gives the slot back without a verdict on the instance.
-    pub fn release(&mut self, id: InstanceId) {
-        let instance = &mut self.instances[id];
-        instance.outstanding = instance.outstanding.saturating_sub(1);
+    /// Gives the slot taken at `taken_at` back without a verdict on the instance.
+    pub fn release(&mut self, id: InstanceId, taken_at: ClockTime) {
+        self.instances[id].release(taken_at);
     }
 
     /// Gives the slot back after a failure; avoids the instance if the floor allows.
-    pub fn fail(&mut self, id: InstanceId, now: ClockTime, floor_percent: u32) {
-        self.release(id);
-        self.instances[id].failures += 1;
-        if self.instances[id].failures < FAILURES_TO_AVOID
-            || !self.floor_allows(id, now, floor_percent)
-        {
+    pub fn fail(
+        &mut self,
+        id: InstanceId,
+        taken_at: ClockTime,
+        now: ClockTime,
+        floor_percent: u32,
+    ) {
+        let instance = &mut self.instances[id];
+        instance.release(taken_at);
+        instance.evidence.failed += 1;
+        instance.failures += 1;
+        let is_enough = instance.failures >= FAILURES_TO_AVOID;
+        if !is_enough || self.policy == RoutingPolicy::RoundRobin {
+            return;
+        }
+        let service = instance.service.clone();
+        if !self.instances[id].is_healthy(now) || !self.has_spare(&service, now, floor_percent) {
             return;
         }
         let instance = &mut self.instances[id];
         instance.avoided_until = now.plus(instance.avoid_millis);
         instance.avoid_millis = (instance.avoid_millis * 2).min(MAX_AVOID_MS);
         instance.failures = 0;
-        let (usable, floor) = self.usable_and_floor(id, now, floor_percent);
-        breach::require(usable >= floor, BreachKind::FloorCrossed);
+        self.verify_floor(&service, now, floor_percent);
     }
 
-    fn floor_allows(&self, id: InstanceId, now: ClockTime, floor_percent: u32) -> bool {
-        let (usable, floor) = self.usable_and_floor(id, now, floor_percent);
-        self.is_usable(id, now) && usable > floor
+    /// Takes the verdicts of the service's home, worst instance first.
+    ///
+    /// Verdicts that the floor does not allow are passed over.
+    pub fn take_verdicts(
+        &mut self,
+        service: &str,
+        verdicts: &[InstanceVerdict],
+        typical_micros: u64,
+        now: ClockTime,
+        floor_percent: u32,
+    ) {
+        let Some(members) = self.by_service.get_mut(service) else {
+            return;
+        };
+        members.typical_micros = typical_micros;
+        for id in members.instances.clone() {
+            self.instances[id].verdict_until = ClockTime::default();
+        }
+        let mut ejected_any = false;
+        for verdict in verdicts {
+            let Some(id) = self.by_address.get(&verdict.address).copied() else {
+                continue;
+            };
+            let is_healthy = self.instances[id].is_healthy(now);
+            if verdict.weight == 0 && is_healthy && !self.has_spare(service, now, floor_percent) {
+                continue;
+            }
+            ejected_any |= verdict.weight == 0 && is_healthy;
+            let instance = &mut self.instances[id];
+            instance.weight = verdict.weight;
+            instance.verdict_until = now.plus(VERDICT_LIFE_MS);
+        }
+        if ejected_any {
+            self.verify_floor(service, now, floor_percent);
+        }
     }
 
-    /// Usable instances of the service of `id`, and the floor under them.
-    fn usable_and_floor(&self, id: InstanceId, now: ClockTime, floor_percent: u32) -> (u32, u32) {
-        let members = &self.by_service[&self.instances[id].service];
-        let usable = members
-            .iter()
-            .filter(|id| self.is_usable(**id, now))
-            .count() as u32;
-        let total = members
-            .iter()
-            .filter(|id| !self.instances[**id].leaving)
-            .count() as u32;
-        (usable, (total * floor_percent).div_ceil(100))
+    /// Takes the evidence on the instances of `service` since the last call.
+    ///
+    /// Requests that are stuck count as failed once.
+    pub fn take_evidence(
+        &mut self,
+        service: &str,
+        now: ClockTime,
+    ) -> Vec<(SocketAddr, InstanceEvidence)> {
+        let Some(members) = self.by_service.get(service) else {
+            return Vec::new();
+        };
+        let stuck_millis =
+            (members.typical_micros * STUCK_FACTOR / MICROS_PER_MILLI).max(LEAST_STUCK_MS);
+        let mut taken = Vec::new();
+        for id in &members.instances {
+            let instance = &mut self.instances[*id];
+            for request in &mut instance.working {
+                if !request.counted_stuck && now.since(request.taken_at) > stuck_millis {
+                    request.counted_stuck = true;
+                    instance.evidence.failed += 1;
+                }
+            }
+            let evidence = std::mem::take(&mut instance.evidence);
+            if !evidence.is_empty() {
+                taken.push((instance.address, evidence));
+            }
+        }
+        taken
     }
 
-    fn is_usable(&self, id: InstanceId, now: ClockTime) -> bool {
-        let instance = &self.instances[id];
-        !instance.leaving && instance.avoided_until <= now
+    /// Names of the services that have instances.
+    pub fn services(&self) -> impl Iterator<Item = &CompactString> {
+        self.by_service.keys()
+    }
+
+    fn candidates(
+        &self,
+        service: &str,
+        now: ClockTime,
+        draw: u64,
+        tried: &[InstanceId],
+    ) -> Vec<InstanceId> {
+        let Some(members) = self.by_service.get(service) else {
+            return Vec::new();
+        };
+        let free: Vec<InstanceId> = members
+            .instances
+            .iter()
+            .copied()
+            .filter(|id| !tried.contains(id))
+            .filter(|id| self.instances[*id].is_usable(now))
+            .filter(|id| self.instances[*id].working.len() < SLOTS_PER_INSTANCE)
+            .collect();
+        let weighed: Vec<InstanceId> = free
+            .iter()
+            .copied()
+            .filter(|id| {
+                let percent = (draw >> 32).wrapping_add(u64::from(id.as_u32()) * 37) % 100;
+                percent < u64::from(self.instances[*id].current_weight(now))
+            })
+            .collect();
+        if weighed.is_empty() { free } else { weighed }
     }
 
-    fn has_room(&self, id: InstanceId, now: ClockTime) -> bool {
-        self.is_usable(id, now) && self.instances[id].outstanding < SLOTS_PER_INSTANCE
+    fn better_of_two(
+        &self,
+        usable: &[InstanceId],
+        data_centre: &str,
+        draws: (u64, u64),
+    ) -> InstanceId {
+        let count = usable.len() as u64;
+        let first = usable[(draws.0 % count) as usize];
+        let second = usable[(draws.1 % count) as usize];
+        if self.cost(second, data_centre) < self.cost(first, data_centre) {
+            second
+        } else {
+            first
+        }
     }
 
     fn cost(&self, id: InstanceId, data_centre: &str) -> u64 {
@@ -205,6 +416,39 @@
         } else {
             OTHER_DATA_CENTRE_MICROS
         };
-        u64::from(instance.outstanding + 1) * instance.latency_micros + distance
+        (instance.working.len() as u64 + 1) * instance.latency_micros + distance
+    }
+
+    fn typical_of(&self, id: InstanceId) -> u64 {
+        let members = self.by_service.get(&self.instances[id].service);
+        members.map_or(0, |members| members.typical_micros)
+    }
+
+    /// Whether one more healthy instance of `service` may be taken out of use.
+    fn has_spare(&self, service: &str, now: ClockTime, floor_percent: u32) -> bool {
+        let (healthy, floor) = self.healthy_and_floor(service, now, floor_percent);
+        healthy > floor
+    }
+
+    fn verify_floor(&self, service: &str, now: ClockTime, floor_percent: u32) {
+        let (healthy, floor) = self.healthy_and_floor(service, now, floor_percent);
+        breach::require(healthy >= floor, BreachKind::FloorCrossed);
     }
+
+    fn healthy_and_floor(&self, service: &str, now: ClockTime, floor_percent: u32) -> (u32, u32) {
+        let healthy = self
+            .members(service)
+            .filter(|instance| instance.is_healthy(now))
+            .count() as u32;
+        let total = self
+            .members(service)
+            .filter(|instance| !instance.leaving)
+            .count() as u32;
+        (healthy, floor_of(total, floor_percent))
+    }
+}
+
+/// Instances of `total` that a floor of `floor_percent` percent leaves in use.
+pub fn floor_of(total: u32, floor_percent: u32) -> u32 {
+    (total * floor_percent).div_ceil(100)
 }
--- a/crates/state/tests/instance_pool.rs
+++ b/crates/state/tests/instance_pool.rs
@@ -16,7 +16,7 @@
 fn pool_of(count: u16) -> InstancePool {
     let mut pool = InstancePool::default();
     for index in 0..count {
-        pool.note("stock", address(index), "dc1", false);
+        pool.note("stock", address(index), "dc1", false, ClockTime::default());
     }
     pool
 }
@@ -38,13 +38,13 @@
     ) {
         let mut pool = pool_of(count);
         for index in 0..leaving.min(count) {
-            pool.note("stock", address(index), "dc1", true);
+            pool.note("stock", address(index), "dc1", true, ClockTime::default());
         }
         let mut now = ClockTime::from_millis(1_000);
         for (wait, first, second) in failures {
             now = now.plus(wait);
             if let Some(id) = pool.choose("stock", "dc1", now, (first, second), &[]) {
-                pool.fail(id, now, floor);
+                pool.fail(id, now, now, floor);
             }
             let live = pool.iter().filter(|(_, instance)| !instance.leaving).count() as u32;
             let usable = pool
@@ -65,7 +65,7 @@
         .filter_map(|draw| pool.choose("stock", "dc1", now, (draw, draw + 1), &[]))
         .collect();
     assert_eq!(taken.len(), 6);
-    pool.succeed(taken[0], 1_000);
+    pool.succeed(taken[0], now, 1_000);
     assert!(pool.choose("stock", "dc1", now, (0, 1), &[]).is_some());
     assert!(pool.choose("stock", "dc1", now, (0, 1), &[]).is_none());
 }
