Add trials of gray upstreams with detection, false ejections and fairness

Cause: the judge of instances had no failing test.

Change: eleven scenarios over 40 hosts and 20 instances: slow, slow in part, failing in part, hanging, short and crossed answers, flapping, a path cut for one data centre, all slow, overload, leaving, and bookings under faults.

--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -169,10 +169,13 @@
         return response;
     };
     let fault = instance.fault.get();
+    instance
+        .ledger
+        .borrow_mut()
+        .push(entry_of(instance, &request));
     if fault.hang {
         sleep(Duration::from_millis(HANG_MS)).await;
     }
-    instance.ledger.borrow_mut().push(entry_of(&request));
     instance.served.set(instance.served.get() + 1);
     sleep(Duration::from_millis(work_millis(instance, fault))).await;
     let path = request.uri().path().to_owned();
@@ -216,12 +219,13 @@
     received
 }
 
-fn entry_of(request: &Request<Incoming>) -> RunEntry {
+fn entry_of(instance: &InstanceState, request: &Request<Incoming>) -> RunEntry {
     let text = |name: &str| {
         let value = request.headers().get(name);
         value.map(|value| String::from_utf8_lossy(value.as_bytes()).into_owned())
     };
     RunEntry {
+        instance: instance.address,
         request: text(REQUEST_ID).unwrap_or_default(),
         workspace: text(headers::WORKSPACE).unwrap_or_default(),
         admitted_at: text(headers::ADMITTED_AT)
--- a/crates/standin/src/run_ledger.rs
+++ b/crates/standin/src/run_ledger.rs
@@ -1,11 +1,15 @@
 //! What ran on the instances.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
 /// One request that ran.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunEntry {
+    /// Where the instance listens.
+    pub instance: SocketAddr,
     /// Number that the caller gave the request.
     pub request: String,
     /// Workspace that it ran for.
--- a/crates/trial/src/fleet_plan.rs
+++ b/crates/trial/src/fleet_plan.rs
@@ -18,6 +18,7 @@
 const PLATFORM_NET: u8 = 200;
 const RELAY_NET: u8 = 201;
 const INSTANCE_NET: u8 = 210;
+const RELAYED_NET: u8 = 211;
 
 /// Addresses of one host.
 #[derive(Clone, Debug)]
@@ -45,6 +46,10 @@
     pub data_centre: usize,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where hosts connect, through the relay if it differs from `address`.
+    pub listed: SocketAddr,
+    /// Whether the host list shows it as leaving.
+    pub leaving: bool,
 }
 
 /// Addresses of a fleet.
@@ -74,6 +79,8 @@
     pub snapshot_millis: u64,
     /// Milliseconds that a request takes on an instance.
     pub service_ms: u64,
+    /// How hosts choose instances.
+    pub policy: String,
 }
 
 /// Service of the stock ledger.
@@ -88,10 +95,16 @@
             SocketAddr::from((Ipv4Addr::new(127, range, PLATFORM_NET, host), port))
         };
         let instances = (0..instances)
-            .map(|index| InstancePlan {
-                service: STOCK,
-                data_centre: index % data_centres,
-                address: SocketAddr::from((ip(INSTANCE_NET as usize, index + 1), INSTANCE_PORT)),
+            .map(|index| {
+                let ip = ip(INSTANCE_NET as usize, index + 1);
+                let address = SocketAddr::from((ip, INSTANCE_PORT));
+                InstancePlan {
+                    service: STOCK,
+                    data_centre: index % data_centres,
+                    address,
+                    listed: address,
+                    leaving: false,
+                }
             })
             .collect();
         let mut plan = FleetPlan {
@@ -107,6 +120,7 @@
             snapshot_records: 1_000,
             snapshot_millis: 600_000,
             service_ms: 2,
+            policy: "shared".to_owned(),
         };
         for index in 0..hosts {
             plan.add_host(index % data_centres);
@@ -137,6 +151,15 @@
         index
     }
 
+    /// Lets hosts reach the instance with index `index` only through the relay.
+    pub fn relay_instance(&mut self, index: usize) {
+        let IpAddr::V4(platform) = self.log.ip() else {
+            return;
+        };
+        let ip = Ipv4Addr::new(127, platform.octets()[1], RELAYED_NET, index as u8 + 1);
+        self.instances[index].listed = SocketAddr::from((ip, INSTANCE_PORT));
+    }
+
     /// IP numbers of the hosts in `data_centre`.
     pub fn ips_of(&self, data_centre: usize) -> Vec<IpAddr> {
         self.ips_where(|host| host.data_centre == data_centre)
@@ -166,7 +189,7 @@
         format!(
             "[host]\ncallers = {}\npeers = {}\nlisten-peers = {}\nadmin = {}\ndata-centre = {}\n\n\
              [platform]\nlog = {}\nhost-list = {}\n\n[fleet]\nshards = {}\n\n\
-             [snapshot]\nevery-records = {}\nevery-ms = {}\n",
+             [snapshot]\nevery-records = {}\nevery-ms = {}\n\n[routing]\npolicy = {}\n",
             host.callers,
             host.peers,
             host.listen_peers,
@@ -177,6 +200,7 @@
             self.shard_count,
             self.snapshot_records,
             self.snapshot_millis,
+            self.policy,
         )
     }
 }
--- a/crates/trial/src/main.rs
+++ b/crates/trial/src/main.rs
@@ -14,6 +14,7 @@
 use crocushoist_trial::host_measure::measure_hosts;
 use crocushoist_trial::scenario_catalogue::SCENARIOS;
 use crocushoist_trial::scenario_catalogue::ScenarioEntry;
+use crocushoist_trial::scenario_catalogue::TrialOptions;
 use crocushoist_trial::trial_error::TrialError;
 use crocushoist_trial::trial_report::TrialReport;
 
@@ -68,6 +69,9 @@
         /// Seed of callers and faults.
         #[arg(long, default_value_t = 1)]
         seed: u64,
+        /// How hosts choose instances: shared, own or round-robin.
+        #[arg(long, default_value = "shared")]
+        policy: String,
         /// Prints one JSON object.
         #[arg(long)]
         json: bool,
@@ -98,16 +102,17 @@
         TrialCommand::Run {
             scenario,
             seed,
+            policy,
             json,
             targets,
-        } => run_scenario(&scenario, seed, json, targets),
+        } => run_scenario(&scenario, TrialOptions { seed, policy }, json, targets),
     }
 }
 
-fn run_scenario(name: &str, seed: u64, json: bool, targets: bool) -> ExitCode {
+fn run_scenario(name: &str, options: TrialOptions, json: bool, targets: bool) -> ExitCode {
     let report = find(name).and_then(|entry| {
         let runtime = compio::runtime::Runtime::new()?;
-        runtime.block_on(run_bounded(entry, seed))
+        runtime.block_on(run_bounded(entry, options))
     });
     match report {
         Ok(report) => {
@@ -172,7 +177,10 @@
         })
 }
 
-async fn run_bounded(entry: ScenarioEntry, seed: u64) -> Result<TrialReport, TrialError> {
+async fn run_bounded(
+    entry: ScenarioEntry,
+    options: TrialOptions,
+) -> Result<TrialReport, TrialError> {
     if std::io::stderr().is_terminal() {
         compio::runtime::spawn(show_progress(entry.name)).detach();
     }
@@ -181,7 +189,7 @@
         what: "the end of the scenario",
         millis: MAX_TRIAL_MS,
     };
-    timeout(limit, (entry.run)(seed))
+    timeout(limit, (entry.run)(options))
         .await
         .unwrap_or(Err(never))
 }
--- a/crates/trial/src/scenario_catalogue.rs
+++ b/crates/trial/src/scenario_catalogue.rs
@@ -7,6 +7,17 @@
 use crate::scenario_config::run_edit_race;
 use crate::scenario_config::run_log_lost_reply;
 use crate::scenario_config::run_log_outage;
+use crate::scenario_gray::run_all_slow;
+use crate::scenario_gray::run_booking_faults;
+use crate::scenario_gray::run_error_part;
+use crate::scenario_gray::run_flap;
+use crate::scenario_gray::run_hang;
+use crate::scenario_gray::run_leaving;
+use crate::scenario_gray::run_overload;
+use crate::scenario_gray::run_path_cut;
+use crate::scenario_gray::run_slow_one;
+use crate::scenario_gray::run_slow_some;
+use crate::scenario_gray::run_wrong_answer;
 use crate::scenario_host::run_dc_cut;
 use crate::scenario_host::run_host_kill;
 use crate::scenario_host::run_host_stop;
@@ -26,70 +37,134 @@
     pub name: &'static str,
     /// What it does, in a line.
     pub summary: &'static str,
-    /// Runs it with a seed.
-    pub run: fn(u64) -> ScenarioRun,
+    /// Runs it.
+    pub run: fn(TrialOptions) -> ScenarioRun,
+}
+
+/// Options of one run.
+#[derive(Clone, Debug)]
+pub struct TrialOptions {
+    /// Seed of callers and faults.
+    pub seed: u64,
+    /// How hosts choose instances: `shared`, `own` or `round-robin`.
+    pub policy: String,
 }
 
 /// Every scenario.
-pub const SCENARIOS: [ScenarioEntry; 12] = [
+pub const SCENARIOS: [ScenarioEntry; 23] = [
     ScenarioEntry {
         name: "calm",
         summary: "44 hosts, what control costs idle and under a calm load",
-        run: |seed| Box::pin(run_calm(seed)),
+        run: |options| Box::pin(run_calm(options.seed)),
     },
     ScenarioEntry {
         name: "path",
         summary: "calm load through six hosts, compared with going direct",
-        run: |seed| Box::pin(run_path(seed)),
+        run: |options| Box::pin(run_path(options.seed)),
     },
     ScenarioEntry {
         name: "rate-skew",
         summary: "44 hosts, callers on one host, one workspace at five times its rate",
-        run: |seed| Box::pin(run_rate_skew(seed)),
+        run: |options| Box::pin(run_rate_skew(options.seed)),
     },
     ScenarioEntry {
         name: "rate-cut",
         summary: "one-way cuts between data centres while limits are pressed",
-        run: |seed| Box::pin(run_rate_cut(seed)),
+        run: |options| Box::pin(run_rate_cut(options.seed)),
     },
     ScenarioEntry {
         name: "rate-freeze",
         summary: "hosts frozen for longer than every lease while limits are pressed",
-        run: |seed| Box::pin(run_rate_freeze(seed)),
+        run: |options| Box::pin(run_rate_freeze(options.seed)),
     },
     ScenarioEntry {
         name: "key-withdraw",
         summary: "keys withdrawn and granted while traffic runs over kept connections",
-        run: |seed| Box::pin(run_key_withdraw(seed)),
+        run: |options| Box::pin(run_key_withdraw(options.seed)),
     },
     ScenarioEntry {
         name: "edit-race",
         summary: "operators race with edits of one object",
-        run: |seed| Box::pin(run_edit_race(seed)),
+        run: |options| Box::pin(run_edit_race(options.seed)),
     },
     ScenarioEntry {
         name: "log-outage",
         summary: "the log is out, early records have expired, a host starts meanwhile",
-        run: |seed| Box::pin(run_log_outage(seed)),
+        run: |options| Box::pin(run_log_outage(options.seed)),
     },
     ScenarioEntry {
         name: "log-lost-reply",
         summary: "replies of appends are lost after they took effect",
-        run: |seed| Box::pin(run_log_lost_reply(seed)),
+        run: |options| Box::pin(run_log_lost_reply(options.seed)),
     },
     ScenarioEntry {
         name: "host-kill",
         summary: "hosts are killed and replaced",
-        run: |seed| Box::pin(run_host_kill(seed)),
+        run: |options| Box::pin(run_host_kill(options.seed)),
     },
     ScenarioEntry {
         name: "host-stop",
         summary: "hosts stop in the planned way",
-        run: |seed| Box::pin(run_host_stop(seed)),
+        run: |options| Box::pin(run_host_stop(options.seed)),
     },
     ScenarioEntry {
         name: "dc-cut",
         summary: "a data centre is cut off in one direction, then in both",
-        run: |seed| Box::pin(run_dc_cut(seed)),
+        run: |options| Box::pin(run_dc_cut(options.seed)),
+    },
+    ScenarioEntry {
+        name: "slow-one",
+        summary: "one instance takes five times as long",
+        run: |options| Box::pin(run_slow_one(options)),
+    },
+    ScenarioEntry {
+        name: "slow-some",
+        summary: "one instance is slow for a fifth of its requests",
+        run: |options| Box::pin(run_slow_some(options)),
+    },
+    ScenarioEntry {
+        name: "error-part",
+        summary: "one instance fails for a third of its requests",
+        run: |options| Box::pin(run_error_part(options)),
+    },
+    ScenarioEntry {
+        name: "hang",
+        summary: "one instance hangs after it accepted a request",
+        run: |options| Box::pin(run_hang(options)),
+    },
+    ScenarioEntry {
+        name: "wrong-answer",
+        summary: "one instance cuts its answers short, another answers other requests",
+        run: |options| Box::pin(run_wrong_answer(options)),
+    },
+    ScenarioEntry {
+        name: "flap",
+        summary: "one instance fails for two seconds in every five",
+        run: |options| Box::pin(run_flap(options)),
+    },
+    ScenarioEntry {
+        name: "path-cut",
+        summary: "one data centre cannot reach one instance",
+        run: |options| Box::pin(run_path_cut(options)),
+    },
+    ScenarioEntry {
+        name: "all-slow",
+        summary: "every instance takes five times as long",
+        run: |options| Box::pin(run_all_slow(options)),
+    },
+    ScenarioEntry {
+        name: "overload",
+        summary: "more is asked than the instances can do",
+        run: |options| Box::pin(run_overload(options)),
+    },
+    ScenarioEntry {
+        name: "leaving",
+        summary: "an instance leaves by the host list",
+        run: |options| Box::pin(run_leaving(options)),
+    },
+    ScenarioEntry {
+        name: "booking-faults",
+        summary: "bookings under hangs, short answers, kills, freezes and cuts",
+        run: |options| Box::pin(run_booking_faults(options)),
     },
 ];
--- /dev/null
+++ b/crates/trial/src/scenario_gray.rs
@@ -0,0 +1,537 @@
+//! Upstreams that fail gray, under a load of all workspaces.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use compio::time::sleep;
+use futures_util::future::join;
+
+use crocushoist_standin::CutRule;
+use crocushoist_standin::FaultScript;
+use crocushoist_standin::RunEntry;
+use crocushoist_state::ClockTime;
+
+use crate::fleet_plan::FleetPlan;
+use crate::promise_check::LimitTable;
+use crate::promise_check::wrongful_percent;
+use crate::scenario_catalogue::TrialOptions;
+use crate::service_figures::served_figures;
+use crate::trial_caller::CallerPlan;
+use crate::trial_caller::run_callers;
+use crate::trial_error::TrialError;
+use crate::trial_fleet::TrialFleet;
+use crate::trial_report::TrialReport;
+use crate::trial_setup::conclude;
+use crate::trial_setup::fixed_caller;
+use crate::trial_setup::limits;
+use crate::trial_setup::start_fleet;
+use crate::trial_setup::steered_caller;
+
+const HOSTS: usize = 40;
+const INSTANCES: usize = 20;
+const WARM_MS: u64 = 3_500;
+const DURATION_MS: u64 = 13_000;
+const HARD_DETECTION_MS: u64 = 1_000;
+const SLOW_DETECTION_MS: u64 = 3_000;
+const EXTRA_ATTEMPTS_PERCENT: f64 = 10.0;
+const FAIR_PERCENT: f64 = 95.0;
+const LEAVING_MS: u64 = 3_000;
+const HOST_LIST_LAG_MS: u64 = 1_000;
+const QUIET_GAPS: f64 = 8.0;
+const FAULTY: usize = 4;
+
+fn gray_limits() -> LimitTable {
+    limits(&[
+        ("depot", 300, 150),
+        ("installer", 300, 150),
+        ("audit", 120, 60),
+        ("verifier", 60, 40),
+    ])
+}
+
+fn gray_callers(fleet: &TrialFleet, seed: u64) -> Vec<CallerPlan> {
+    let mut callers = Vec::new();
+    for data_centre in 0..3 {
+        for (index, (workspace, rate)) in [
+            ("depot", 65.0),
+            ("installer", 65.0),
+            ("audit", 25.0),
+            ("verifier", 10.0),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let seed = seed * 1_000 + data_centre as u64 * 10 + index as u64;
+            callers.push(steered_caller(fleet, workspace, rate, data_centre, seed));
+        }
+    }
+    callers
+}
+
+/// What a fault trial expects.
+struct GrayExpectation {
+    /// Indexes of the faulty instances.
+    faulty: Vec<usize>,
+    /// Milliseconds within which they are out of use.
+    detection_ms: Option<u64>,
+}
+
+async fn start_gray(
+    options: &TrialOptions,
+    plan: FleetPlan,
+) -> Result<(TrialFleet, LimitTable), TrialError> {
+    let limits = gray_limits();
+    let plan = FleetPlan {
+        policy: options.policy.clone(),
+        ..plan
+    };
+    Ok((start_fleet(plan, &limits).await?, limits))
+}
+
+fn gray_plan() -> FleetPlan {
+    FleetPlan::new(HOSTS, INSTANCES, 3, HOSTS as u32)
+}
+
+/// Sets the faults after a warm-up and takes the figures.
+async fn run_faults(
+    options: TrialOptions,
+    faults: Vec<(usize, FaultScript)>,
+    expected: GrayExpectation,
+) -> Result<TrialReport, TrialError> {
+    let (fleet, limits) = start_gray(&options, gray_plan()).await?;
+    let before = fleet.statuses().await;
+    let callers = gray_callers(&fleet, options.seed);
+    let script = async {
+        sleep(Duration::from_millis(WARM_MS)).await;
+        for (instance, fault) in faults {
+            fleet
+                .script_fault(fleet.plan.instances[instance].address, fault)
+                .await?;
+        }
+        Ok::<ClockTime, TrialError>(ClockTime::now())
+    };
+    let (outcomes, faulted_at) = join(run_callers(callers, DURATION_MS), script).await;
+    let faulted_at = faulted_at?;
+    let mut report = TrialReport::default();
+    let ledger = fleet.ledger().await?;
+    detection_figures(&fleet, &mut report, &ledger, &expected, faulted_at);
+    ejection_figures(&fleet, &mut report, &expected.faulty).await;
+    served_figures(&mut report, &outcomes, &ledger, &limits);
+    attempts_within_budget(&mut report);
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+/// Milliseconds until a faulty instance got requests no more.
+///
+/// Its requests have ended where the first gap of several times its usual one begins.
+fn detection_figures(
+    fleet: &TrialFleet,
+    report: &mut TrialReport,
+    ledger: &[RunEntry],
+    expected: &GrayExpectation,
+    faulted_at: ClockTime,
+) {
+    let mut worst: f64 = 0.0;
+    for index in &expected.faulty {
+        let address = fleet.plan.instances[*index].address;
+        let mut starts: Vec<u64> = ledger
+            .iter()
+            .filter(|entry| entry.instance == address)
+            .map(|entry| entry.started_at)
+            .collect();
+        starts.sort_unstable();
+        let before = starts
+            .iter()
+            .filter(|at| **at < faulted_at.as_millis())
+            .count()
+            .max(1);
+        let usual_gap = WARM_MS as f64 / before as f64;
+        let after: Vec<u64> = starts
+            .into_iter()
+            .filter(|at| *at >= faulted_at.as_millis())
+            .collect();
+        let quiet_from = after
+            .windows(2)
+            .find(|pair| (pair[1] - pair[0]) as f64 > usual_gap * QUIET_GAPS)
+            .map(|pair| pair[0])
+            .or(after.last().copied())
+            .unwrap_or(faulted_at.as_millis());
+        worst = worst.max(quiet_from.saturating_sub(faulted_at.as_millis()) as f64);
+    }
+    if expected.faulty.is_empty() {
+        return;
+    }
+    report.figure("time_to_detect", worst, "ms");
+    if let Some(target) = expected.detection_ms {
+        report.aim(
+            worst <= target as f64,
+            format!("a faulty instance got requests for {worst} ms, allowed {target} ms"),
+        );
+    }
+}
+
+/// Ejections of instances that were not faulty.
+async fn ejection_figures(fleet: &TrialFleet, report: &mut TrialReport, faulty: &[usize]) {
+    let faulty: HashSet<SocketAddr> = faulty
+        .iter()
+        .map(|index| fleet.plan.instances[*index].listed)
+        .collect();
+    let mut right = 0;
+    let mut wrong: HashMap<SocketAddr, String> = HashMap::new();
+    for status in fleet.statuses().await {
+        for ejection in status.ejections {
+            if faulty.contains(&ejection.address) {
+                right += ejection.count;
+            } else {
+                wrong.insert(ejection.address, ejection.reason.to_string());
+            }
+        }
+    }
+    report.figure("ejections", right as f64, "of faulty instances");
+    report.figure("false_ejections", wrong.len() as f64, "instances");
+    report.aim(
+        wrong.is_empty(),
+        format!("instances without a fault were ejected: {wrong:?}"),
+    );
+}
+
+fn attempts_within_budget(report: &mut TrialReport) {
+    let extra = report.value("extra_attempts").unwrap_or(0.0);
+    report.require(
+        extra < EXTRA_ATTEMPTS_PERCENT,
+        format!("{extra:.1}% extra attempts, allowed {EXTRA_ATTEMPTS_PERCENT}%"),
+    );
+}
+
+/// One instance takes five times as long.
+pub async fn run_slow_one(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let fault = FaultScript {
+        slow_factor: 5,
+        ..FaultScript::default()
+    };
+    let expected = GrayExpectation {
+        faulty: vec![FAULTY],
+        detection_ms: Some(SLOW_DETECTION_MS),
+    };
+    run_faults(options, vec![(FAULTY, fault)], expected).await
+}
+
+/// One instance is slow for a fifth of its requests.
+pub async fn run_slow_some(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let fault = FaultScript {
+        slow_factor: 10,
+        slow_percent: 20,
+        ..FaultScript::default()
+    };
+    let expected = GrayExpectation {
+        faulty: vec![FAULTY],
+        detection_ms: None,
+    };
+    run_faults(options, vec![(FAULTY, fault)], expected).await
+}
+
+/// One instance fails for a third of its requests.
+pub async fn run_error_part(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let fault = FaultScript {
+        error_percent: 33,
+        ..FaultScript::default()
+    };
+    let expected = GrayExpectation {
+        faulty: vec![FAULTY],
+        detection_ms: None,
+    };
+    run_faults(options, vec![(FAULTY, fault)], expected).await
+}
+
+/// One instance hangs after it accepted a request.
+pub async fn run_hang(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let fault = FaultScript {
+        hang: true,
+        ..FaultScript::default()
+    };
+    let expected = GrayExpectation {
+        faulty: vec![FAULTY],
+        detection_ms: Some(HARD_DETECTION_MS),
+    };
+    run_faults(options, vec![(FAULTY, fault)], expected).await
+}
+
+/// One instance cuts its answers short, another answers other requests.
+pub async fn run_wrong_answer(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let short = FaultScript {
+        short: true,
+        ..FaultScript::default()
+    };
+    let crossed = FaultScript {
+        crossed: true,
+        ..FaultScript::default()
+    };
+    let expected = GrayExpectation {
+        faulty: vec![FAULTY, FAULTY + 1],
+        detection_ms: Some(HARD_DETECTION_MS),
+    };
+    run_faults(
+        options,
+        vec![(FAULTY, short), (FAULTY + 1, crossed)],
+        expected,
+    )
+    .await
+}
+
+/// Every instance takes five times as long; nobody may be ejected.
+pub async fn run_all_slow(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let fault = FaultScript {
+        slow_factor: 5,
+        ..FaultScript::default()
+    };
+    let expected = GrayExpectation {
+        faulty: Vec::new(),
+        detection_ms: None,
+    };
+    let faults = (0..INSTANCES).map(|instance| (instance, fault)).collect();
+    run_faults(options, faults, expected).await
+}
+
+/// One instance fails for two seconds in every five.
+pub async fn run_flap(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let (fleet, limits) = start_gray(&options, gray_plan()).await?;
+    let before = fleet.statuses().await;
+    let callers = gray_callers(&fleet, options.seed);
+    let address = fleet.plan.instances[FAULTY].address;
+    let failing = FaultScript {
+        error_percent: 100,
+        ..FaultScript::default()
+    };
+    let script = async {
+        for _ in 0..4 {
+            sleep(Duration::from_millis(3_000)).await;
+            fleet.script_fault(address, failing).await?;
+            sleep(Duration::from_millis(2_000)).await;
+            fleet.script_fault(address, FaultScript::default()).await?;
+        }
+        Ok::<(), TrialError>(())
+    };
+    let (outcomes, scripted) = join(run_callers(callers, 20_000), script).await;
+    scripted?;
+    let mut report = TrialReport::default();
+    let ledger = fleet.ledger().await?;
+    ejection_figures(&fleet, &mut report, &[FAULTY]).await;
+    served_figures(&mut report, &outcomes, &ledger, &limits);
+    attempts_within_budget(&mut report);
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+/// One data centre cannot reach one instance; it must stay in use elsewhere.
+pub async fn run_path_cut(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let mut plan = gray_plan();
+    plan.relay_instance(FAULTY);
+    let (fleet, limits) = start_gray(&options, plan).await?;
+    let before = fleet.statuses().await;
+    let callers = gray_callers(&fleet, options.seed);
+    let script = async {
+        sleep(Duration::from_millis(WARM_MS)).await;
+        let rule = CutRule {
+            from: fleet.plan.ips_of(0),
+            to: vec![fleet.plan.instances[FAULTY].listed.ip()],
+        };
+        fleet.cut(vec![rule]).await?;
+        Ok::<ClockTime, TrialError>(ClockTime::now())
+    };
+    let (outcomes, cut_at) = join(run_callers(callers, DURATION_MS), script).await;
+    let cut_at = cut_at?.as_millis();
+    let mut report = TrialReport::default();
+    let ledger = fleet.ledger().await?;
+    let address = fleet.plan.instances[FAULTY].address;
+    let served_since = ledger
+        .iter()
+        .filter(|entry| entry.instance == address && entry.started_at > cut_at + 4_000)
+        .count();
+    report.figure(
+        "served_by_the_cut_instance_elsewhere",
+        served_since as f64,
+        "requests",
+    );
+    ejection_figures(&fleet, &mut report, &[]).await;
+    served_figures(&mut report, &outcomes, &ledger, &limits);
+    attempts_within_budget(&mut report);
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+/// More is asked than the instances can do, one workspace at five times its rate.
+pub async fn run_overload(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let limits = limits(&[
+        ("depot", 140, 70),
+        ("installer", 140, 70),
+        ("audit", 140, 70),
+        ("verifier", 140, 70),
+        ("noisy", 100, 50),
+    ]);
+    let mut plan = FleetPlan::new(12, 8, 3, 24);
+    plan.policy = options.policy.clone();
+    plan.service_ms = 50;
+    let fleet = start_fleet(plan, &limits).await?;
+    let before = fleet.statuses().await;
+    let mut callers = Vec::new();
+    for (index, workspace) in ["depot", "installer", "audit", "verifier"]
+        .into_iter()
+        .enumerate()
+    {
+        for data_centre in 0..3 {
+            let seed = options.seed * 1_000 + index as u64 * 10 + data_centre as u64;
+            callers.push(steered_caller(&fleet, workspace, 37.0, data_centre, seed));
+        }
+    }
+    let every: Vec<usize> = (0..12).collect();
+    callers.push(fixed_caller(
+        &fleet,
+        "noisy",
+        500.0,
+        &every,
+        options.seed * 1_000 + 90,
+    ));
+    let outcomes = run_callers(callers, DURATION_MS).await;
+    let mut report = TrialReport::default();
+    let ledger = fleet.ledger().await?;
+    ejection_figures(&fleet, &mut report, &[]).await;
+    let inside: LimitTable = limits
+        .iter()
+        .filter(|(name, _)| *name != "noisy")
+        .map(|(name, limit)| (name.clone(), *limit))
+        .collect();
+    served_figures(&mut report, &outcomes, &ledger, &inside);
+    let share = report.value("worst_served_share").unwrap_or(0.0);
+    report.aim(
+        share >= FAIR_PERCENT,
+        format!(
+            "the worst-served workspace got {share:.1}% of the best-served, wanted {FAIR_PERCENT}%"
+        ),
+    );
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+/// An instance leaves by the host list; it must get no new work after 3 s.
+pub async fn run_leaving(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let (mut fleet, limits) = start_gray(&options, gray_plan()).await?;
+    let before = fleet.statuses().await;
+    let callers = gray_callers(&fleet, options.seed);
+    let address = fleet.plan.instances[FAULTY].address;
+    let script = async {
+        sleep(Duration::from_millis(WARM_MS)).await;
+        fleet.plan.instances[FAULTY].leaving = true;
+        fleet.publish_hosts().await?;
+        Ok::<ClockTime, TrialError>(ClockTime::now().plus(HOST_LIST_LAG_MS))
+    };
+    let (outcomes, shown_at) = join(run_callers(callers, DURATION_MS), script).await;
+    let shown_at = shown_at?;
+    let mut report = TrialReport::default();
+    let ledger = fleet.ledger().await?;
+    let last = ledger
+        .iter()
+        .filter(|entry| entry.instance == address)
+        .map(|entry| entry.started_at)
+        .max()
+        .unwrap_or(0);
+    let late = last.saturating_sub(shown_at.as_millis());
+    report.figure("last_work_after_shown", late as f64, "ms");
+    report.aim(
+        late <= LEAVING_MS,
+        "a leaving instance got new work after 3 s",
+    );
+    let unserved = outcomes
+        .iter()
+        .filter(|outcome| !outcome.is_answered())
+        .count();
+    report.require(
+        unserved == 0,
+        "a request was not answered while an instance left",
+    );
+    ejection_figures(&fleet, &mut report, &[]).await;
+    served_figures(&mut report, &outcomes, &ledger, &limits);
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+/// Bookings under hangs, short answers, kills, freezes and cuts: each runs at most once.
+pub async fn run_booking_faults(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let limits = gray_limits();
+    let mut plan = FleetPlan::new(12, 10, 3, 24);
+    plan.policy = options.policy.clone();
+    let mut fleet = start_fleet(plan, &limits).await?;
+    fleet
+        .change(crocushoist_protocol::WireChange::SetDefault {
+            setting: "deadline-ms".into(),
+            value: 1_500,
+        })
+        .await?;
+    let before = fleet.statuses().await;
+    let callers: Vec<CallerPlan> = gray_callers(&fleet, options.seed)
+        .into_iter()
+        .map(|caller| CallerPlan {
+            method: "POST",
+            ..caller
+        })
+        .collect();
+    let faults = booking_faults(&mut fleet);
+    let (outcomes, faulted) = join(run_callers(callers, 14_000), faults).await;
+    faulted?;
+    let mut report = TrialReport::default();
+    let ledger = fleet.ledger().await?;
+    served_figures(&mut report, &outcomes, &ledger, &limits);
+    let extra = report.value("extra_attempts").unwrap_or(0.0);
+    report.require(extra == 0.0, "a booking was written more than once");
+    let wrongful = wrongful_percent(&outcomes, "depot", limits["depot"]);
+    report.figure("wrongful_depot", wrongful, "%");
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+async fn booking_faults(fleet: &mut TrialFleet) -> Result<(), TrialError> {
+    let faults = [
+        FaultScript {
+            hang: true,
+            ..FaultScript::default()
+        },
+        FaultScript {
+            short: true,
+            ..FaultScript::default()
+        },
+        FaultScript {
+            crossed: true,
+            ..FaultScript::default()
+        },
+        FaultScript {
+            error_percent: 30,
+            ..FaultScript::default()
+        },
+        FaultScript {
+            slow_factor: 200,
+            ..FaultScript::default()
+        },
+    ];
+    sleep(Duration::from_millis(1_500)).await;
+    for (index, fault) in faults.into_iter().enumerate() {
+        fleet
+            .script_fault(fleet.plan.instances[index].address, fault)
+            .await?;
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    fleet.freeze_host(2);
+    let rule = CutRule {
+        from: fleet.plan.ips_of(0),
+        to: fleet.plan.ips_outside(0),
+    };
+    fleet.cut(vec![rule]).await?;
+    sleep(Duration::from_millis(3_000)).await;
+    fleet.thaw_host(2);
+    fleet.kill_host(4);
+    fleet.cut(Vec::new()).await?;
+    sleep(Duration::from_millis(2_000)).await;
+    fleet.stop_host(7).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/trial/src/service_figures.rs
@@ -0,0 +1,74 @@
+//! How workspaces were served.
+
+use std::collections::HashSet;
+
+use hdrhistogram::Histogram;
+
+use crocushoist_standin::RunEntry;
+
+use crate::call_outcome::CallOutcome;
+use crate::call_outcome::OutcomeKind;
+use crate::promise_check::LimitTable;
+use crate::promise_check::wrongful_percent;
+use crate::trial_report::TrialReport;
+
+const FIRST_ERROR_STATUS: u16 = 500;
+const PERCENT: f64 = 100.0;
+
+/// Whether the caller got what it asked for.
+fn is_served(outcome: &CallOutcome) -> bool {
+    matches!(outcome.kind, OutcomeKind::Answered { status } if status < FIRST_ERROR_STATUS)
+}
+
+/// Takes the figures of how the workspaces of `limits` were served.
+pub fn served_figures(
+    report: &mut TrialReport,
+    outcomes: &[CallOutcome],
+    ledger: &[RunEntry],
+    limits: &LimitTable,
+) {
+    let mut shares: Vec<f64> = Vec::new();
+    let mut wrongful: f64 = 0.0;
+    for (workspace, limit) in limits {
+        let own: Vec<&CallOutcome> = outcomes
+            .iter()
+            .filter(|outcome| outcome.workspace == *workspace)
+            .collect();
+        let served = own.iter().filter(|outcome| is_served(outcome)).count();
+        shares.push(served as f64 / own.len().max(1) as f64);
+        wrongful = wrongful.max(wrongful_percent(outcomes, workspace, *limit));
+    }
+    let best = shares.iter().copied().fold(0.0, f64::max);
+    let worst = shares.iter().copied().fold(1.0, f64::min);
+    let served = outcomes.iter().filter(|outcome| is_served(outcome)).count();
+    report.figure(
+        "served",
+        PERCENT * served as f64 / outcomes.len().max(1) as f64,
+        "%",
+    );
+    report.figure(
+        "worst_served_share",
+        PERCENT * worst / best.max(1e-9),
+        "% of the best-served",
+    );
+    report.figure("wrongful_worst", wrongful, "%");
+    report.figure("served_p99", latency_p99(outcomes), "us");
+    report.figure("extra_attempts", extra_attempts(ledger), "%");
+}
+
+fn latency_p99(outcomes: &[CallOutcome]) -> f64 {
+    let Ok(mut histogram) = Histogram::<u64>::new(3) else {
+        return 0.0;
+    };
+    for outcome in outcomes.iter().filter(|outcome| is_served(outcome)) {
+        let _ = histogram.record(outcome.micros);
+    }
+    histogram.value_at_quantile(0.99) as f64
+}
+
+/// Attempts beyond the first of each request, in percent of the requests.
+fn extra_attempts(ledger: &[RunEntry]) -> f64 {
+    let requests: HashSet<&str> = ledger.iter().map(|entry| entry.request.as_str()).collect();
+    let extra = ledger.len() - requests.len();
+    PERCENT * extra as f64 / requests.len().max(1) as f64
+}
--- a/crates/trial/src/trial_fleet.rs
+++ b/crates/trial/src/trial_fleet.rs
@@ -181,9 +181,13 @@
             });
         let instances = self.plan.instances.iter().map(|instance| ListedHost {
             role: instance.service.into(),
-            address: instance.address,
+            address: instance.listed,
             data_centre: FleetPlan::data_centre_name(instance.data_centre).into(),
-            state: ListedState::Live,
+            state: if instance.leaving {
+                ListedState::Leaving
+            } else {
+                ListedState::Live
+            },
         });
         let script = HostListScript {
             listing: HostListing {
@@ -300,6 +304,15 @@
                 target: host.listen_peers,
             })
             .collect();
+        let relayed = self.plan.instances.iter();
+        mappings.extend(
+            relayed
+                .filter(|instance| instance.listed != instance.address)
+                .map(|instance| RelayMapping {
+                    listen: instance.listed,
+                    target: instance.address,
+                }),
+        );
         mappings.push(RelayMapping {
             listen: self.plan.log_relay,
             target: self.plan.log,
