Count cut answers against their instance, and stuck requests only against a known latency

Cause: two faults of the evidence.

Change: a relayed body tells whether it ended whole, was cut short by the instance or abandoned by the caller. Until a typical latency is known, a request is stuck after 2 s.

--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -36,6 +36,7 @@
 use crocushoist_state::breach::BreachKind;
 use crocushoist_transport::AnswerBody;
 use crocushoist_transport::AttemptFailure;
+use crocushoist_transport::BodyEnd;
 use crocushoist_transport::ForwardBody;
 use crocushoist_transport::UpstreamConnection;
 
@@ -432,11 +433,12 @@
     head.headers = without_hop_headers(&head.headers);
     head.headers.remove(headers::UPSTREAM_STATE);
     head.headers.remove(headers::ATTEMPT);
-    let completion = move |whole: bool| {
-        match (whole, is_error) {
-            (true, false) => slot.succeed(latency),
-            (true, true) => slot.fail(),
-            (false, _) => return,
+    let completion = move |end: BodyEnd| {
+        match end {
+            BodyEnd::Whole if is_error => slot.fail(),
+            BodyEnd::Whole => slot.succeed(latency),
+            BodyEnd::CutShort => return slot.fail(),
+            BodyEnd::Abandoned => return,
         }
         upstreams.put(connection);
     };
--- a/crates/state/src/instance_pool.rs
+++ b/crates/state/src/instance_pool.rs
@@ -35,6 +35,7 @@
 const SLOW_FACTOR: u64 = 3;
 const STUCK_FACTOR: u64 = 20;
 const LEAST_STUCK_MS: u64 = 250;
+const UNKNOWN_STUCK_MS: u64 = 2_000;
 const MICROS_PER_MILLI: u64 = 1_000;
 const WHOLE_WEIGHT: u8 = 100;
 
@@ -340,8 +341,7 @@
         let Some(members) = self.by_service.get(service) else {
             return Vec::new();
         };
-        let stuck_millis =
-            (members.typical_micros * STUCK_FACTOR / MICROS_PER_MILLI).max(LEAST_STUCK_MS);
+        let stuck_millis = stuck_millis(members.typical_micros);
         let mut taken = Vec::new();
         for id in &members.instances {
             let instance = &mut self.instances[*id];
@@ -448,6 +448,14 @@
     }
 }
 
+/// Milliseconds after which a request is stuck where `typical_micros` is typical, zero if unknown.
+fn stuck_millis(typical_micros: u64) -> u64 {
+    if typical_micros == 0 {
+        return UNKNOWN_STUCK_MS;
+    }
+    (typical_micros * STUCK_FACTOR / MICROS_PER_MILLI).max(LEAST_STUCK_MS)
+}
+
 /// Instances of `total` that a floor of `floor_percent` percent leaves in use.
 pub fn floor_of(total: u32, floor_percent: u32) -> u32 {
     (total * floor_percent).div_ceil(100)
--- a/crates/transport/src/answer_body.rs
+++ b/crates/transport/src/answer_body.rs
@@ -1,7 +1,7 @@
 //! Body of an answer to a caller.
 //!
 //! A relayed body passes the upstream's frames on as they come. When it ends,
-//! its completion is told whether the whole answer was passed on; an error of
+//! its completion is told how it ended; an error of
 //! the upstream becomes an error of this body, so that the caller's
 //! connection is cut and a short answer never looks complete.
 
@@ -15,7 +15,18 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
-type Completion = Box<dyn FnOnce(bool)>;
+type Completion = Box<dyn FnOnce(BodyEnd)>;
+
+/// How a relayed body ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// The whole body was passed on.
+    Whole,
+    /// The upstream cut it short.
+    CutShort,
+    /// The caller did not take it.
+    Abandoned,
+}
 
 /// Body of an answer to a caller.
 pub struct AnswerBody {
@@ -37,21 +48,21 @@
         }
     }
 
-    /// Body that an upstream sends; `completion` is told whether all of it was passed on.
-    pub fn relayed(incoming: Incoming, completion: impl FnOnce(bool) + 'static) -> Self {
+    /// Body that an upstream sends; `completion` is told how it ended.
+    pub fn relayed(incoming: Incoming, completion: impl FnOnce(BodyEnd) + 'static) -> Self {
         let mut body = AnswerBody {
             source: BodySource::Relayed(incoming),
             completion: Some(Box::new(completion)),
         };
         if body.is_end_stream() {
-            body.complete(true);
+            body.complete(BodyEnd::Whole);
         }
         body
     }
 
-    fn complete(&mut self, whole: bool) {
+    fn complete(&mut self, end: BodyEnd) {
         if let Some(completion) = self.completion.take() {
-            completion(whole);
+            completion(end);
         }
     }
 }
@@ -73,9 +84,9 @@
         };
         let polled = Pin::new(incoming).poll_frame(cx);
         match &polled {
-            Poll::Ready(None) => self.complete(true),
-            Poll::Ready(Some(Err(_))) => self.complete(false),
-            Poll::Ready(Some(Ok(_))) if self.is_end_stream() => self.complete(true),
+            Poll::Ready(None) => self.complete(BodyEnd::Whole),
+            Poll::Ready(Some(Err(_))) => self.complete(BodyEnd::CutShort),
+            Poll::Ready(Some(Ok(_))) if self.is_end_stream() => self.complete(BodyEnd::Whole),
             Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
         polled
@@ -100,6 +111,6 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        self.complete(false);
+        self.complete(BodyEnd::Abandoned);
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -21,6 +21,7 @@
 mod upstream_pool;
 
 pub use answer_body::AnswerBody;
+pub use answer_body::BodyEnd;
 pub use byte_meter::ByteMeter;
 pub use connect::connect_from;
 pub use connect::listen_on;
