--- a/crates/trial/src/scenario_catalogue.rs
+++ b/crates/trial/src/scenario_catalogue.rs
@@ -19,6 +19,7 @@
 use crate::scenario_gray::run_slow_some;
 use crate::scenario_gray::run_wrong_answer;
 use crate::scenario_host::run_dc_cut;
+use crate::scenario_host::run_fleet_restart;
 use crate::scenario_host::run_host_kill;
 use crate::scenario_host::run_host_stop;
 use crate::scenario_key::run_key_withdraw;
@@ -51,7 +52,7 @@
 }
 
 /// Every scenario.
-pub const SCENARIOS: [ScenarioEntry; 23] = [
+pub const SCENARIOS: [ScenarioEntry; 24] = [
     ScenarioEntry {
         name: "calm",
         summary: "44 hosts, what control costs idle and under a calm load",
@@ -107,6 +108,11 @@
         summary: "hosts stop in the planned way",
         run: |options| Box::pin(run_host_stop(options.seed)),
     },
+    ScenarioEntry {
+        name: "fleet-restart",
+        summary: "every host is killed at once and started again",
+        run: |options| Box::pin(run_fleet_restart(options.seed)),
+    },
     ScenarioEntry {
         name: "dc-cut",
         summary: "a data centre is cut off in one direction, then in both",
--- a/crates/trial/src/scenario_host.rs
+++ b/crates/trial/src/scenario_host.rs
@@ -170,3 +170,36 @@
     conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
     Ok(report)
 }
+
+/// Kills every host at once and starts all again at their addresses.
+///
+/// Nothing but the log remains; the configuration must be what it was.
+pub async fn run_fleet_restart(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = host_limits();
+    let mut fleet = start_fleet(FleetPlan::new(6, 12, 3, 12), &limits).await?;
+    let before = fleet.statuses().await;
+    let last_offset = before.iter().map(|status| status.host.next_offset).max();
+    let every = fleet.live_hosts();
+    every.iter().for_each(|index| fleet.kill_host(*index));
+    let killed_at = ClockTime::now();
+    for index in every {
+        fleet.start_host(index)?;
+    }
+    fleet.wait_ready().await?;
+    let mut report = TrialReport::default();
+    report.figure(
+        "time_to_recover",
+        ClockTime::now().since(killed_at) as f64,
+        "ms",
+    );
+    let after = fleet.statuses().await;
+    let went_back = after
+        .iter()
+        .any(|status| Some(status.host.next_offset) < last_offset);
+    report.require(!went_back, "an offset went back over the restart");
+    sleep(Duration::from_millis(1_000)).await;
+    let outcomes = run_callers(callers_of(&fleet, seed), 5_000).await;
+    wrongful_figures(&mut report, &outcomes, &limits);
+    conclude(&fleet, &mut report, &after, &outcomes, &limits).await?;
+    Ok(report)
+}
