Change limits in the property test of the bucket

Cause: the promise covers changed rates, and no test changed one between grants.

The test now changes rate and burst at random. A window may use the burst that was in force up to a token's life before its start, since a token granted under the earlier burst may be spent for that long; no other allowance is made.

--- a/crates/state/tests/token_bucket.rs
+++ b/crates/state/tests/token_bucket.rs
@@ -19,6 +19,14 @@
     Spend(usize),
     GiveBack(usize),
     SpendWithoutWord(usize),
+    ChangeLimit(ShareLimit),
+}
+
+fn limit() -> impl Strategy<Value = ShareLimit> {
+    (1..400_000u64, 1..40u64).prop_map(|(rate, burst)| ShareLimit {
+        rate,
+        burst: burst * TOKEN_MICROS,
+    })
 }
 
 fn step() -> impl Strategy<Value = (u64, BucketStep)> {
@@ -27,17 +35,37 @@
         3 => any::<usize>().prop_map(BucketStep::Spend),
         1 => any::<usize>().prop_map(BucketStep::GiveBack),
         2 => any::<usize>().prop_map(BucketStep::SpendWithoutWord),
+        1 => limit().prop_map(BucketStep::ChangeLimit),
     ];
     let wait = prop_oneof![5 => 0..5u64, 2 => 5..60u64, 1 => 60..700u64];
     (wait, kind)
 }
 
-/// Whether some window of the sorted `spent_at` exceeds the limit.
-fn exceeds(spent_at: &[u64], limit: ShareLimit) -> bool {
+/// Limits with the time from which each was in force.
+type LimitHistory = Vec<(u64, ShareLimit)>;
+
+/// What may be spent from `from` to `to`: the burst and what accrues in between.
+///
+/// A token granted under an earlier burst may be spent for its life after the change.
+fn allowed(limits: &LimitHistory, from: u64, to: u64) -> u64 {
+    let mut burst = 0;
+    let mut accrued = 0;
+    for (index, (since, limit)) in limits.iter().enumerate() {
+        let until = limits.get(index + 1).map_or(u64::MAX, |(next, _)| *next);
+        if until.saturating_add(LIFE_MS) >= from && *since <= to {
+            burst = burst.max(limit.burst);
+        }
+        accrued += limit.rate * to.min(until).saturating_sub(from.max(*since));
+    }
+    burst + accrued
+}
+
+/// Whether some window of the sorted `spent_at` exceeds the limits.
+fn exceeds(spent_at: &[u64], limits: &LimitHistory) -> bool {
     spent_at.iter().enumerate().any(|(first, from)| {
         spent_at[first..].iter().enumerate().any(|(more, to)| {
             let spent = (more as u64 + 1) * TOKEN_MICROS;
-            spent > limit.burst + limit.rate * (to - from)
+            spent > allowed(limits, *from, *to)
         })
     })
 }
@@ -52,13 +80,12 @@
 
     #[test]
     fn no_window_exceeds_the_limit(
-        rate in 1..400_000u64,
-        burst in 1..40u64,
+        limit in limit(),
         steps in prop::collection::vec(step(), 1..300),
     ) {
-        let limit = ShareLimit { rate, burst: burst * TOKEN_MICROS };
         let mut now = ClockTime::from_millis(10_000);
         let mut bucket = TokenBucket::new(limit, ClockTime::default());
+        let mut limits: LimitHistory = vec![(0, limit)];
         let mut open: Vec<(GrantId, ClockTime)> = Vec::new();
         let mut spent_at = Vec::new();
         for (wait, step) in steps {
@@ -84,10 +111,14 @@
                     open.swap_remove(pick % open.len());
                     spent_at.push(now.as_millis());
                 }
+                BucketStep::ChangeLimit(limit) => {
+                    bucket.change_limit(limit, now);
+                    limits.push((now.as_millis(), limit));
+                }
                 _ => {}
             }
         }
-        prop_assert!(!exceeds(&spent_at, limit));
+        prop_assert!(!exceeds(&spent_at, &limits));
         prop_assert_eq!(breach::count(breach::BreachKind::BucketOverCap), 0);
     }
 }
