Prove the end of restarted holders by the tail they read when bound

Cause: fleet-restart (every host killed at once and started again at its address) never recovered. The tables that wait for acceptance are kept as they were, so a holder that a later record proved to have ended still counted as missing in them.

Found beside it: a record of an ended incarnation that takes effect late would have marked the living one at its address as ended, because only difference of incarnations was looked at.

Change: a holder carries the log's tail that it read after it was bound to its address. Of two incarnations at one address the one that read the larger tail is the later; equal tails tell nothing. Proofs of an end now also count in waiting tables, and a restarted host takes the shards of its earlier incarnation without waiting for suspicion.

Also: the slot of an instance, the filter of headers, the state of an instance and the load scenarios stand in files of their own.

--- a/crates/coordination/src/acceptance_tracker.rs
+++ b/crates/coordination/src/acceptance_tracker.rs
@@ -8,9 +8,11 @@
 //! longer confirm an older offset.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 
 use crocushoist_state::IncarnationId;
+use crocushoist_state::ShardHolder;
 use crocushoist_state::ShardTable;
 
 /// Tracks which records are accepted.
@@ -18,6 +20,7 @@
 pub struct AcceptanceTracker {
     folded: HashMap<IncarnationId, u64>,
     pending: VecDeque<(u64, ShardTable)>,
+    ended: HashSet<IncarnationId>,
     accepted: u64,
     vouched_from: u64,
 }
@@ -41,6 +44,23 @@
         }
     }
 
+    /// Notes that `incarnation` has ended.
+    pub fn note_ended(&mut self, incarnation: IncarnationId) {
+        self.ended.insert(incarnation);
+    }
+
+    /// Notes that `later` was bound to its address, which ends earlier holders there.
+    ///
+    /// Tables from before that still wait for acceptance name such holders.
+    pub fn note_bound(&mut self, later: &ShardHolder) {
+        let tables = self.pending.iter().map(|(_, before)| before);
+        let ended = tables
+            .flat_map(|table| table.holders())
+            .filter(|holder| holder.is_ended_by(later))
+            .map(|holder| holder.incarnation);
+        self.ended.extend(ended);
+    }
+
     /// Notes that `incarnation` has folded every record below `next_offset`.
     pub fn note_folded(&mut self, incarnation: IncarnationId, next_offset: u64) {
         let known = self.folded.entry(incarnation).or_default();
@@ -80,11 +100,12 @@
     /// Forgets incarnations that `is_known` does not name.
     pub fn retain(&mut self, is_known: impl Fn(IncarnationId) -> bool) {
         self.folded.retain(|incarnation, _| is_known(*incarnation));
+        self.ended.retain(|incarnation| is_known(*incarnation));
     }
 
     fn majority_offset(&self, table: &ShardTable) -> u64 {
         let reached = table.majority_value(|holder| {
-            if holder.ended {
+            if holder.ended || self.ended.contains(&holder.incarnation) {
                 return u64::MAX;
             }
             self.folded.get(&holder.incarnation).copied().unwrap_or(0)
--- a/crates/coordination/src/peer_directory.rs
+++ b/crates/coordination/src/peer_directory.rs
@@ -14,6 +14,8 @@
 pub struct PeerState {
     /// Addresses of the peer.
     pub address: HostAddress,
+    /// One more than the log's tail that it read after it was bound, zero if it read none.
+    pub born: u64,
     /// When it was last heard: the sending of a question that it answered, or a question of its own.
     pub heard_at: ClockTime,
     /// Offset that it had folded up to.
--- a/crates/coordination/src/record_fold.rs
+++ b/crates/coordination/src/record_fold.rs
@@ -193,8 +193,7 @@
             return None;
         }
         if let Some(holder) = &claim.to {
-            self.table
-                .end_others_at(holder.address.peers, holder.incarnation);
+            self.table.end_earlier_than(holder);
         }
         Some(before)
     }
--- a/crates/coordination/tests/acceptance.rs
+++ b/crates/coordination/tests/acceptance.rs
@@ -18,6 +18,7 @@
             peers: address,
             data_centre: "dc1".into(),
         },
+        born: 0,
         ended: false,
     }
 }
@@ -97,3 +98,41 @@
     note(&mut tracker, &[(1, 2)]);
     assert_eq!(tracker.advance(&table_of(&[7, 8, 9]), 5), 5);
 }
+
+/// The holder with `incarnation`, restarted at the address of `earlier` after it read `born`.
+fn restarted(incarnation: u64, earlier: u64, born: u64) -> ShardHolder {
+    ShardHolder {
+        incarnation: IncarnationId(incarnation),
+        born,
+        ..holder(earlier)
+    }
+}
+
+#[test]
+fn restart_at_an_address_ends_the_earlier_holder_in_waiting_tables() {
+    let before = table_of(&[1, 2, 3]);
+    let after = table_of(&[4, 4, 4]);
+    let mut tracker = AcceptanceTracker::default();
+    tracker.note_change(7, before);
+    note(&mut tracker, &[(4, 9)]);
+    assert_eq!(tracker.advance(&after, 9), 0);
+    tracker.note_bound(&restarted(8, 1, 5));
+    assert_eq!(tracker.advance(&after, 9), 0);
+    tracker.note_bound(&restarted(9, 2, 5));
+    assert_eq!(tracker.advance(&after, 9), 9);
+}
+
+#[test]
+fn late_record_of_an_earlier_incarnation_ends_nobody() {
+    let current = restarted(8, 1, 5);
+    let earlier = restarted(1, 1, 3);
+    let unknown = restarted(7, 1, 0);
+    assert!(earlier.is_ended_by(&current));
+    assert!(!current.is_ended_by(&earlier));
+    assert!(!current.is_ended_by(&unknown));
+    assert!(!current.is_ended_by(&current));
+    assert!(
+        !current.is_ended_by(&restarted(9, 1, 5)),
+        "equal tails tell nothing"
+    );
+}
--- a/crates/coordination/tests/fence.rs
+++ b/crates/coordination/tests/fence.rs
@@ -28,6 +28,7 @@
             peers: address,
             data_centre: "dc1".into(),
         },
+        born: 0,
         ended: false,
     }
 }
--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -5,8 +5,6 @@
 //! key is in no header or query that is written.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::time::Duration;
 use std::time::Instant;
 
 use compio::time::timeout_at;
@@ -16,16 +14,10 @@
 use hyper::StatusCode;
 use hyper::Uri;
 use hyper::body::Incoming;
-use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
-use hyper::header::EXPECT;
 use hyper::header::HOST;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
-use hyper::header::TE;
-use hyper::header::TRAILER;
-use hyper::header::TRANSFER_ENCODING;
-use hyper::header::UPGRADE;
 use hyper::http::request::Parts;
 
 use crocushoist_protocol::RefusalReason;
@@ -40,9 +32,12 @@
 use crocushoist_transport::ForwardBody;
 use crocushoist_transport::UpstreamConnection;
 
+use crate::header_filter::contains;
+use crate::header_filter::without_hop_headers;
 use crate::host_context::HostContext;
 use crate::host_context::SharedContext;
 use crate::host_metrics::RetryReason;
+use crate::instance_slot::InstanceSlot;
 use crate::refusal::Refusal;
 use crate::request_path::AdmittedRequest;
 use crate::request_path::is_idempotent;
@@ -52,8 +47,6 @@
 const SHED: &str = "shed";
 const DRAINING: &str = "draining";
 
-const HOP_HEADERS: [HeaderName; 6] = [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE, EXPECT];
-
 /// One request on its way to an instance.
 pub(crate) struct Forwarding<'a> {
     context: &'a SharedContext,
@@ -350,75 +343,6 @@
     }
 }
 
-/// Slot of an instance, given back when dropped.
-struct InstanceSlot {
-    context: SharedContext,
-    instance: InstanceId,
-    floor_percent: u32,
-    taken_at: ClockTime,
-    started: Instant,
-    given_back: bool,
-}
-
-impl InstanceSlot {
-    fn new(
-        context: &SharedContext,
-        instance: InstanceId,
-        taken_at: ClockTime,
-        floor_percent: u32,
-    ) -> Self {
-        InstanceSlot {
-            context: Rc::clone(context),
-            instance,
-            floor_percent,
-            taken_at,
-            started: Instant::now(),
-            given_back: false,
-        }
-    }
-
-    fn succeed(mut self, latency: Duration) {
-        self.given_back = true;
-        let mut state = self.context.state.borrow_mut();
-        state
-            .pool
-            .succeed(self.instance, self.taken_at, latency.as_micros() as u64);
-    }
-
-    fn fail(mut self) {
-        self.given_back = true;
-        let mut state = self.context.state.borrow_mut();
-        let address = state.pool.get(self.instance).address;
-        state.pool.fail(
-            self.instance,
-            self.taken_at,
-            ClockTime::now(),
-            self.floor_percent,
-        );
-        self.context.upstreams.forget(address);
-    }
-
-    fn note_leaving(&self) {
-        self.context
-            .state
-            .borrow_mut()
-            .pool
-            .note_leaving(self.instance);
-    }
-}
-
-impl Drop for InstanceSlot {
-    fn drop(&mut self) {
-        if !self.given_back {
-            self.context
-                .state
-                .borrow_mut()
-                .pool
-                .release(self.instance, self.taken_at);
-        }
-    }
-}
-
 /// Answer that passes on the instance's answer and then gives slot and connection back.
 fn relay(
     context: &HostContext,
@@ -426,7 +350,7 @@
     connection: UpstreamConnection,
     response: Response<Incoming>,
 ) -> Response<AnswerBody> {
-    let latency = slot.started.elapsed();
+    let latency = slot.elapsed();
     let is_error = response.status().is_server_error();
     let upstreams = context.upstreams.clone();
     let (mut head, body) = response.into_parts();
@@ -453,25 +377,6 @@
     }
 }
 
-fn without_hop_headers(original: &HeaderMap) -> HeaderMap {
-    let mut kept = original.clone();
-    let named: Vec<String> = original
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    for name in named {
-        kept.remove(name);
-    }
-    for name in HOP_HEADERS {
-        kept.remove(name);
-    }
-    kept.remove("keep-alive");
-    kept
-}
-
 fn is_crossed(response: &Response<Incoming>, attempt: &str) -> bool {
     let echoed = response.headers().get(headers::ATTEMPT);
     echoed.is_some_and(|echoed| echoed.as_bytes() != attempt.as_bytes())
@@ -483,7 +388,3 @@
         .into_iter()
         .find(|known| state.as_bytes() == known.as_bytes())
 }
-
-fn contains(text: &[u8], part: &[u8]) -> bool {
-    text.windows(part.len()).any(|window| window == part)
-}
--- a/crates/daemon/src/host_state.rs
+++ b/crates/daemon/src/host_state.rs
@@ -13,6 +13,7 @@
 
 use crocushoist_coordination::AcceptanceTracker;
 use crocushoist_coordination::DryShares;
+use crocushoist_coordination::FleetRecord;
 use crocushoist_coordination::FreshnessTracker;
 use crocushoist_coordination::HolderWatch;
 use crocushoist_coordination::PeerDirectory;
@@ -137,11 +138,25 @@
                 Ok(None) => {}
                 Err(_) => return,
             }
+            self.note_ends(record.as_ref());
             self.tail.push(bytes);
         }
         self.settle(now);
     }
 
+    /// Notes which incarnations `record` proves to have ended.
+    fn note_ends(&mut self, record: Option<&FleetRecord>) {
+        match record {
+            Some(FleetRecord::Claim(claim)) => {
+                if let Some(holder) = &claim.to {
+                    self.acceptance.note_bound(holder);
+                }
+            }
+            Some(FleetRecord::End { incarnation, .. }) => self.acceptance.note_ended(*incarnation),
+            _ => {}
+        }
+    }
+
     /// Continues with a later fold, as a host that fell behind must.
     ///
     /// Every record below `accepted` is known to be accepted.
@@ -191,6 +206,7 @@
             .note_folded(asker.incarnation, request.next_offset);
         let heard = PeerState {
             address: asker.address,
+            born: asker.born,
             heard_at: now,
             next_offset: request.next_offset,
             leaving: request.leaving,
@@ -234,6 +250,7 @@
         }
         let heard = PeerState {
             address: peer.address,
+            born: peer.born,
             heard_at: asked_at,
             next_offset: answer.next_offset,
             leaving: answer.leaving,
--- a/crates/daemon/src/log_reader.rs
+++ b/crates/daemon/src/log_reader.rs
@@ -49,6 +49,9 @@
         }
         let records = decode_page(&page)?;
         let mut state = context.state.borrow_mut();
+        if state.own.born == 0 {
+            state.own.born = page.tail + 1;
+        }
         state.absorb(page.first, records, ClockTime::now());
         if state.fold.next_offset() >= page.tail {
             if state.fold.next_offset() == page.tail {
--- a/crates/daemon/tests/agreement.rs
+++ b/crates/daemon/tests/agreement.rs
@@ -167,6 +167,11 @@
                 peers: address,
                 data_centre: "dc1".into(),
             },
+            born: if self.log_out {
+                0
+            } else {
+                self.log.len() as u64
+            },
             ended: false,
         };
         HostState::new(own, SHARDS, RoutingPolicy::Shared)
--- a/crates/protocol/src/wire_holder.rs
+++ b/crates/protocol/src/wire_holder.rs
@@ -21,6 +21,8 @@
     pub peers: SocketAddr,
     /// Data centre.
     pub data_centre: CompactString,
+    /// One more than the log's tail that it read after it was bound, zero if it read none.
+    pub born: u64,
     /// Whether the incarnation is known to have ended.
     pub ended: bool,
 }
@@ -32,6 +34,7 @@
             callers: holder.address.callers,
             peers: holder.address.peers,
             data_centre: holder.address.data_centre.clone(),
+            born: holder.born,
             ended: holder.ended,
         }
     }
@@ -46,6 +49,7 @@
                 peers: holder.peers,
                 data_centre: holder.data_centre,
             },
+            born: holder.born,
             ended: holder.ended,
         }
     }
--- a/crates/state/src/instance_pool.rs
+++ b/crates/state/src/instance_pool.rs
@@ -18,10 +18,13 @@
 
 use crate::ClockTime;
 use crate::InstanceEvidence;
+use crate::InstanceState;
 use crate::InstanceVerdict;
 use crate::RoutingPolicy;
 use crate::breach;
 use crate::breach::BreachKind;
+use crate::instance_state::WHOLE_WEIGHT;
+use crate::instance_state::WorkingRequest;
 
 const SLOTS_PER_INSTANCE: usize = 3;
 const FAILURES_TO_AVOID: u32 = 3;
@@ -37,85 +40,12 @@
 const LEAST_STUCK_MS: u64 = 250;
 const UNKNOWN_STUCK_MS: u64 = 2_000;
 const MICROS_PER_MILLI: u64 = 1_000;
-const WHOLE_WEIGHT: u8 = 100;
 
 /// Instance of a service.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct InstanceId(u32);
 entity_impl!(InstanceId, "instance");
 
-/// State of one instance, as this host sees it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct InstanceState {
-    /// Name of its service.
-    pub service: CompactString,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its data centre.
-    pub data_centre: CompactString,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// Smoothed latency in microseconds.
-    pub latency_micros: u64,
-    /// Until when this host avoids it.
-    pub avoided_until: ClockTime,
-    working: Vec<WorkingRequest>,
-    failures: u32,
-    avoid_millis: u64,
-    cold_until: ClockTime,
-    weight: u8,
-    verdict_until: ClockTime,
-    evidence: InstanceEvidence,
-}
-
-/// Request that an instance is working on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct WorkingRequest {
-    taken_at: ClockTime,
-    counted_stuck: bool,
-}
-
-impl InstanceState {
-    /// Requests of this host that it is working on.
-    pub fn outstanding(&self) -> usize {
-        self.working.len()
-    }
-
-    /// Whether the evidence of all hosts together ejects it.
-    pub fn is_ejected(&self, now: ClockTime) -> bool {
-        self.weight == 0 && self.verdict_until > now
-    }
-
-    /// Whether this host may send it requests.
-    pub fn is_usable(&self, now: ClockTime) -> bool {
-        !self.leaving && self.avoided_until <= now && !self.is_ejected(now)
-    }
-
-    /// Whether it counts towards the floor.
-    pub fn is_healthy(&self, now: ClockTime) -> bool {
-        self.is_usable(now) && self.cold_until <= now
-    }
-
-    /// Share of its requests in percent that it gets after an ejection.
-    fn current_weight(&self, now: ClockTime) -> u8 {
-        if self.verdict_until > now {
-            self.weight
-        } else {
-            WHOLE_WEIGHT
-        }
-    }
-
-    fn release(&mut self, taken_at: ClockTime) {
-        let index = self
-            .working
-            .iter()
-            .position(|request| request.taken_at == taken_at);
-        if let Some(index) = index {
-            self.working.swap_remove(index);
-        }
-    }
-}
-
 /// Members of one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceMembers {
--- a/crates/state/src/shard_table.rs
+++ b/crates/state/src/shard_table.rs
@@ -8,8 +8,6 @@
 //! by held shard. An incarnation known to have ended can never again report
 //! an old offset, so it counts as having folded everything.
 
-use std::net::SocketAddr;
-
 use cranelift_entity::EntityRef;
 use cranelift_entity::PrimaryMap;
 use cranelift_entity::entity_impl;
@@ -116,9 +114,9 @@
         true
     }
 
-    /// Marks other incarnations at `address` as ended: only one can be bound to it.
-    pub fn end_others_at(&mut self, address: SocketAddr, current: IncarnationId) {
-        self.end_where(|holder| holder.address.peers == address && holder.incarnation != current);
+    /// Marks the incarnations as ended that `later` proves to have ended.
+    pub fn end_earlier_than(&mut self, later: &ShardHolder) {
+        self.end_where(|holder| holder.is_ended_by(later));
     }
 
     /// Marks `incarnation` as ended; whether it holds a shard.
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod scenario_gray;
 pub mod scenario_host;
 pub mod scenario_key;
+pub mod scenario_load;
 pub mod scenario_path;
 pub mod scenario_rate;
 pub mod service_figures;
--- a/crates/trial/src/scenario_gray.rs
+++ b/crates/trial/src/scenario_gray.rs
@@ -15,7 +15,6 @@
 
 use crate::fleet_plan::FleetPlan;
 use crate::promise_check::LimitTable;
-use crate::promise_check::wrongful_percent;
 use crate::scenario_catalogue::TrialOptions;
 use crate::service_figures::served_figures;
 use crate::trial_caller::CallerPlan;
@@ -24,25 +23,21 @@
 use crate::trial_fleet::TrialFleet;
 use crate::trial_report::TrialReport;
 use crate::trial_setup::conclude;
-use crate::trial_setup::fixed_caller;
 use crate::trial_setup::limits;
 use crate::trial_setup::start_fleet;
 use crate::trial_setup::steered_caller;
 
 const HOSTS: usize = 40;
 const INSTANCES: usize = 20;
-const WARM_MS: u64 = 3_500;
-const DURATION_MS: u64 = 13_000;
+pub(crate) const WARM_MS: u64 = 3_500;
+pub(crate) const DURATION_MS: u64 = 13_000;
 const HARD_DETECTION_MS: u64 = 1_000;
 const SLOW_DETECTION_MS: u64 = 3_000;
 const EXTRA_ATTEMPTS_PERCENT: f64 = 10.0;
-const FAIR_PERCENT: f64 = 95.0;
-const LEAVING_MS: u64 = 3_000;
-const HOST_LIST_LAG_MS: u64 = 1_000;
 const QUIET_GAPS: f64 = 8.0;
-const FAULTY: usize = 4;
+pub(crate) const FAULTY: usize = 4;
 
-fn gray_limits() -> LimitTable {
+pub(crate) fn gray_limits() -> LimitTable {
     limits(&[
         ("depot", 300, 150),
         ("installer", 300, 150),
@@ -51,7 +46,7 @@
     ])
 }
 
-fn gray_callers(fleet: &TrialFleet, seed: u64) -> Vec<CallerPlan> {
+pub(crate) fn gray_callers(fleet: &TrialFleet, seed: u64) -> Vec<CallerPlan> {
     let mut callers = Vec::new();
     for data_centre in 0..3 {
         for (index, (workspace, rate)) in [
@@ -78,7 +73,7 @@
     detection_ms: Option<u64>,
 }
 
-async fn start_gray(
+pub(crate) async fn start_gray(
     options: &TrialOptions,
     plan: FleetPlan,
 ) -> Result<(TrialFleet, LimitTable), TrialError> {
@@ -90,7 +85,7 @@
     Ok((start_fleet(plan, &limits).await?, limits))
 }
 
-fn gray_plan() -> FleetPlan {
+pub(crate) fn gray_plan() -> FleetPlan {
     FleetPlan::new(HOSTS, INSTANCES, 3, HOSTS as u32)
 }
 
@@ -174,7 +169,11 @@
 }
 
 /// Ejections of instances that were not faulty.
-async fn ejection_figures(fleet: &TrialFleet, report: &mut TrialReport, faulty: &[usize]) {
+pub(crate) async fn ejection_figures(
+    fleet: &TrialFleet,
+    report: &mut TrialReport,
+    faulty: &[usize],
+) {
     let faulty: HashSet<SocketAddr> = faulty
         .iter()
         .map(|index| fleet.plan.instances[*index].listed)
@@ -361,177 +360,3 @@
     conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
     Ok(report)
 }
-
-/// More is asked than the instances can do, one workspace at five times its rate.
-pub async fn run_overload(options: TrialOptions) -> Result<TrialReport, TrialError> {
-    let limits = limits(&[
-        ("depot", 140, 70),
-        ("installer", 140, 70),
-        ("audit", 140, 70),
-        ("verifier", 140, 70),
-        ("noisy", 100, 50),
-    ]);
-    let mut plan = FleetPlan::new(12, 8, 3, 24);
-    plan.policy = options.policy.clone();
-    plan.service_ms = 50;
-    let fleet = start_fleet(plan, &limits).await?;
-    let before = fleet.statuses().await;
-    let mut callers = Vec::new();
-    for (index, workspace) in ["depot", "installer", "audit", "verifier"]
-        .into_iter()
-        .enumerate()
-    {
-        for data_centre in 0..3 {
-            let seed = options.seed * 1_000 + index as u64 * 10 + data_centre as u64;
-            callers.push(steered_caller(&fleet, workspace, 37.0, data_centre, seed));
-        }
-    }
-    let every: Vec<usize> = (0..12).collect();
-    callers.push(fixed_caller(
-        &fleet,
-        "noisy",
-        500.0,
-        &every,
-        options.seed * 1_000 + 90,
-    ));
-    let outcomes = run_callers(callers, DURATION_MS).await;
-    let mut report = TrialReport::default();
-    let ledger = fleet.ledger().await?;
-    ejection_figures(&fleet, &mut report, &[]).await;
-    let inside: LimitTable = limits
-        .iter()
-        .filter(|(name, _)| *name != "noisy")
-        .map(|(name, limit)| (name.clone(), *limit))
-        .collect();
-    served_figures(&mut report, &outcomes, &ledger, &inside);
-    let share = report.value("worst_served_share").unwrap_or(0.0);
-    report.aim(
-        share >= FAIR_PERCENT,
-        format!(
-            "the worst-served workspace got {share:.1}% of the best-served, wanted {FAIR_PERCENT}%"
-        ),
-    );
-    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
-    Ok(report)
-}
-
-/// An instance leaves by the host list; it must get no new work after 3 s.
-pub async fn run_leaving(options: TrialOptions) -> Result<TrialReport, TrialError> {
-    let (mut fleet, limits) = start_gray(&options, gray_plan()).await?;
-    let before = fleet.statuses().await;
-    let callers = gray_callers(&fleet, options.seed);
-    let address = fleet.plan.instances[FAULTY].address;
-    let script = async {
-        sleep(Duration::from_millis(WARM_MS)).await;
-        fleet.plan.instances[FAULTY].leaving = true;
-        fleet.publish_hosts().await?;
-        Ok::<ClockTime, TrialError>(ClockTime::now().plus(HOST_LIST_LAG_MS))
-    };
-    let (outcomes, shown_at) = join(run_callers(callers, DURATION_MS), script).await;
-    let shown_at = shown_at?;
-    let mut report = TrialReport::default();
-    let ledger = fleet.ledger().await?;
-    let last = ledger
-        .iter()
-        .filter(|entry| entry.instance == address)
-        .map(|entry| entry.started_at)
-        .max()
-        .unwrap_or(0);
-    let late = last.saturating_sub(shown_at.as_millis());
-    report.figure("last_work_after_shown", late as f64, "ms");
-    report.aim(
-        late <= LEAVING_MS,
-        "a leaving instance got new work after 3 s",
-    );
-    let unserved = outcomes
-        .iter()
-        .filter(|outcome| !outcome.is_answered())
-        .count();
-    report.require(
-        unserved == 0,
-        "a request was not answered while an instance left",
-    );
-    ejection_figures(&fleet, &mut report, &[]).await;
-    served_figures(&mut report, &outcomes, &ledger, &limits);
-    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
-    Ok(report)
-}
-
-/// Bookings under hangs, short answers, kills, freezes and cuts: each runs at most once.
-pub async fn run_booking_faults(options: TrialOptions) -> Result<TrialReport, TrialError> {
-    let limits = gray_limits();
-    let mut plan = FleetPlan::new(12, 10, 3, 24);
-    plan.policy = options.policy.clone();
-    let mut fleet = start_fleet(plan, &limits).await?;
-    fleet
-        .change(crocushoist_protocol::WireChange::SetDefault {
-            setting: "deadline-ms".into(),
-            value: 1_500,
-        })
-        .await?;
-    let before = fleet.statuses().await;
-    let callers: Vec<CallerPlan> = gray_callers(&fleet, options.seed)
-        .into_iter()
-        .map(|caller| CallerPlan {
-            method: "POST",
-            ..caller
-        })
-        .collect();
-    let faults = booking_faults(&mut fleet);
-    let (outcomes, faulted) = join(run_callers(callers, 14_000), faults).await;
-    faulted?;
-    let mut report = TrialReport::default();
-    let ledger = fleet.ledger().await?;
-    served_figures(&mut report, &outcomes, &ledger, &limits);
-    let extra = report.value("extra_attempts").unwrap_or(0.0);
-    report.require(extra == 0.0, "a booking was written more than once");
-    let wrongful = wrongful_percent(&outcomes, "depot", limits["depot"]);
-    report.figure("wrongful_depot", wrongful, "%");
-    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
-    Ok(report)
-}
-
-async fn booking_faults(fleet: &mut TrialFleet) -> Result<(), TrialError> {
-    let faults = [
-        FaultScript {
-            hang: true,
-            ..FaultScript::default()
-        },
-        FaultScript {
-            short: true,
-            ..FaultScript::default()
-        },
-        FaultScript {
-            crossed: true,
-            ..FaultScript::default()
-        },
-        FaultScript {
-            error_percent: 30,
-            ..FaultScript::default()
-        },
-        FaultScript {
-            slow_factor: 200,
-            ..FaultScript::default()
-        },
-    ];
-    sleep(Duration::from_millis(1_500)).await;
-    for (index, fault) in faults.into_iter().enumerate() {
-        fleet
-            .script_fault(fleet.plan.instances[index].address, fault)
-            .await?;
-    }
-    sleep(Duration::from_millis(1_500)).await;
-    fleet.freeze_host(2);
-    let rule = CutRule {
-        from: fleet.plan.ips_of(0),
-        to: fleet.plan.ips_outside(0),
-    };
-    fleet.cut(vec![rule]).await?;
-    sleep(Duration::from_millis(3_000)).await;
-    fleet.thaw_host(2);
-    fleet.kill_host(4);
-    fleet.cut(Vec::new()).await?;
-    sleep(Duration::from_millis(2_000)).await;
-    fleet.stop_host(7).await?;
-    Ok(())
-}
