Try a fleet whose shard holders were mostly replaced, and bound connections

Cause: the way out by an operator's word had no run, and the stand-in's instances took any number of connections.

Servers close connections beyond a bound: 400 on an instance of the stand-in, 8192 callers on a host. A probe of the stand-in costs a slot for 25 ms and always says that all is well.

--- a/crates/daemon/src/host_daemon.rs
+++ b/crates/daemon/src/host_daemon.rs
@@ -27,6 +27,8 @@
 use crate::snapshot_writer::write_snapshots;
 
 const SIGTERM: i32 = 15;
+const MAX_CALLER_CONNECTIONS: usize = 8_192;
+const MAX_ADMIN_CONNECTIONS: usize = 256;
 const TIMER_THREADS: usize = 1;
 
 /// Error that ends the daemon.
@@ -83,12 +85,14 @@
     spawn(serve_http(
         admin,
         Default::default(),
+        MAX_ADMIN_CONNECTIONS,
         move |address, request| answer_admin(Rc::clone(&for_admin), address, request),
     ));
     let for_callers = Rc::clone(&context);
     spawn(serve_http(
         callers,
         context.stop.clone(),
+        MAX_CALLER_CONNECTIONS,
         move |address, request| answer_request(Rc::clone(&for_callers), address, request),
     ));
     compio::signal::unix::signal(SIGTERM)
--- a/crates/standin/src/host_list_server.rs
+++ b/crates/standin/src/host_list_server.rs
@@ -62,9 +62,12 @@
 pub async fn serve_host_list(address: SocketAddr) -> Result<(), TransportError> {
     let listener = listen_on(address).await?;
     let list: Rc<RefCell<ListState>> = Rc::default();
-    serve_http(listener, Default::default(), move |_, request| {
-        answer(Rc::clone(&list), request)
-    })
+    serve_http(
+        listener,
+        Default::default(),
+        usize::MAX,
+        move |_, request| answer(Rc::clone(&list), request),
+    )
     .await;
     Ok(())
 }
--- a/crates/standin/src/instance_server.rs
+++ b/crates/standin/src/instance_server.rs
@@ -2,7 +2,7 @@
 //!
 //! Each instance has three slots and a short queue behind them and sheds what
 //! is beyond. A new connection costs a little, a cold instance is slower at
-//! first. Faults are switched while it runs; a ledger keeps what ran.
+//! first. A probe costs a slot and always says that all is well. Faults are switched while it runs; a ledger keeps what ran.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -40,7 +40,10 @@
 
 const SLOTS: u32 = 3;
 const QUEUE: u32 = 9;
+const MAX_CONNECTIONS: usize = 400;
 const CONNECTION_MS: u64 = 1;
+const PROBE_MS: u64 = 25;
+const HEALTH_PATH: &str = "/health";
 const SLOT_CHECK_MS: u64 = 1;
 const HANG_MS: u64 = 60_000;
 const COLD_REQUESTS: u64 = 20;
@@ -97,15 +100,19 @@
         compio::runtime::spawn(serve_http(
             listener,
             Default::default(),
+            MAX_CONNECTIONS,
             move |peer, request| answer_request(Rc::clone(&instance), peer, request),
         ))
         .detach();
     }
     let listener = listen_on(control).await?;
     let instances = Rc::new(instances);
-    serve_http(listener, Default::default(), move |_, request| {
-        answer_control(Rc::clone(&instances), Rc::clone(&ledger), request)
-    })
+    serve_http(
+        listener,
+        Default::default(),
+        usize::MAX,
+        move |_, request| answer_control(Rc::clone(&instances), Rc::clone(&ledger), request),
+    )
     .await;
     Ok(())
 }
@@ -168,6 +175,10 @@
         set_state(&mut response, "shed");
         return response;
     };
+    if request.uri().path() == HEALTH_PATH {
+        sleep(Duration::from_millis(PROBE_MS)).await;
+        return Response::new(ScriptedBody::whole("healthy"));
+    }
     let fault = instance.fault.get();
     instance
         .ledger
--- a/crates/standin/src/log_server.rs
+++ b/crates/standin/src/log_server.rs
@@ -97,9 +97,12 @@
 pub async fn serve_log(address: SocketAddr) -> Result<(), TransportError> {
     let listener = listen_on(address).await?;
     let log = SharedLog::default();
-    serve_http(listener, Default::default(), move |_, request| {
-        answer(Rc::clone(&log), request)
-    })
+    serve_http(
+        listener,
+        Default::default(),
+        usize::MAX,
+        move |_, request| answer(Rc::clone(&log), request),
+    )
     .await;
     Ok(())
 }
--- a/crates/standin/src/relay_server.rs
+++ b/crates/standin/src/relay_server.rs
@@ -72,9 +72,12 @@
         compio::runtime::spawn(accept_all(listener, mapping, Rc::clone(&rules))).detach();
     }
     let listener = listen_on(control).await?;
-    serve_http(listener, Default::default(), move |_, request| {
-        answer_control(Rc::clone(&rules), request)
-    })
+    serve_http(
+        listener,
+        Default::default(),
+        usize::MAX,
+        move |_, request| answer_control(Rc::clone(&rules), request),
+    )
     .await;
     Ok(())
 }
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -25,9 +25,14 @@
 
 /// Answers the requests of every accepted connection by `handler` until `stop` is raised.
 ///
-/// Connections that are open then finish the request that they are in.
-pub async fn serve_http<H, F, B>(listener: TcpListener, stop: StopSignal, handler: H)
-where
+/// Connections that are open then finish the request that they are in. While
+/// `max_open` connections are open, further ones are closed at once.
+pub async fn serve_http<H, F, B>(
+    listener: TcpListener,
+    stop: StopSignal,
+    max_open: usize,
+    handler: H,
+) where
     H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<B>> + 'static,
     B: Body<Data = Bytes> + 'static,
@@ -45,6 +50,9 @@
         let Ok((stream, address)) = accepted else {
             continue;
         };
+        if stop.open_count() >= max_open {
+            continue;
+        }
         let task = serve_connection(stream, address, stop.clone(), Rc::clone(&handler));
         compio::runtime::spawn(task).detach();
     }
--- a/crates/trial/src/scenario_catalogue.rs
+++ b/crates/trial/src/scenario_catalogue.rs
@@ -17,6 +17,7 @@
 use crate::scenario_gray::run_wrong_answer;
 use crate::scenario_host::run_dc_cut;
 use crate::scenario_host::run_fleet_restart;
+use crate::scenario_host::run_holders_replaced;
 use crate::scenario_host::run_host_kill;
 use crate::scenario_host::run_host_stop;
 use crate::scenario_key::run_key_withdraw;
@@ -52,7 +53,7 @@
 }
 
 /// Every scenario.
-pub const SCENARIOS: [ScenarioEntry; 24] = [
+pub const SCENARIOS: [ScenarioEntry; 25] = [
     ScenarioEntry {
         name: "calm",
         summary: "44 hosts, what control costs idle and under a calm load",
@@ -113,6 +114,11 @@
         summary: "every host is killed at once and started again",
         run: |options| Box::pin(run_fleet_restart(options.seed)),
     },
+    ScenarioEntry {
+        name: "holders-replaced",
+        summary: "most shard holders are replaced at new addresses at once",
+        run: |options| Box::pin(run_holders_replaced(options.seed)),
+    },
     ScenarioEntry {
         name: "dc-cut",
         summary: "a data centre is cut off in one direction, then in both",
--- a/crates/trial/src/scenario_host.rs
+++ b/crates/trial/src/scenario_host.rs
@@ -82,9 +82,7 @@
 async fn wait_all_active(fleet: &TrialFleet) -> Result<(), TrialError> {
     fleet
         .wait_for("every shard in use again", async |fleet| {
-            let statuses = fleet.statuses().await;
-            let active: usize = statuses.iter().map(|status| status.shards_active).sum();
-            active == fleet.plan.shard_count as usize
+            active_shards(fleet).await == fleet.plan.shard_count as usize
         })
         .await
 }
@@ -203,3 +201,53 @@
     conclude(&fleet, &mut report, &after, &outcomes, &limits).await?;
     Ok(report)
 }
+
+/// Kills most shard holders and replaces them at new addresses.
+///
+/// Nobody can prove their end, so their shards stay out until an operator
+/// vouches for it.
+pub async fn run_holders_replaced(seed: u64) -> Result<TrialReport, TrialError> {
+    let limits = host_limits();
+    let mut fleet = start_fleet(FleetPlan::new(6, 12, 3, 12), &limits).await?;
+    let before = fleet.statuses().await;
+    let callers = callers_of(&fleet, seed);
+    let mut report = TrialReport::default();
+    let faults = async {
+        sleep(Duration::from_millis(1_500)).await;
+        let dead: Vec<String> = before
+            .iter()
+            .take(4)
+            .map(|status| status.host.incarnation.to_string())
+            .collect();
+        (0..4).for_each(|index| fleet.kill_host(index));
+        for data_centre in 0..3 {
+            let newcomer = fleet.plan.add_host(data_centre);
+            fleet.publish_hosts().await?;
+            fleet.start_host(newcomer)?;
+        }
+        sleep(Duration::from_millis(RECOVER_MS)).await;
+        let active = active_shards(&fleet).await;
+        for incarnation in dead {
+            fleet.vouch_ended(&incarnation).await?;
+        }
+        let vouched_at = ClockTime::now();
+        fleet.wait_ready().await?;
+        Ok::<(usize, u64), TrialError>((active, ClockTime::now().since(vouched_at)))
+    };
+    let (outcomes, recovered) = join(run_callers(callers, DURATION_MS), faults).await;
+    let (active, to_recover) = recovered?;
+    report.figure("shards_in_use_before_the_word", active as f64, "of 12");
+    report.figure(
+        "time_to_recover",
+        to_recover as f64,
+        "ms after the operator's word",
+    );
+    wrongful_figures(&mut report, &outcomes, &limits);
+    conclude(&fleet, &mut report, &before, &outcomes, &limits).await?;
+    Ok(report)
+}
+
+async fn active_shards(fleet: &TrialFleet) -> usize {
+    let statuses = fleet.statuses().await;
+    statuses.iter().map(|status| status.shards_active).sum()
+}
--- a/crates/trial/src/trial_fleet.rs
+++ b/crates/trial/src/trial_fleet.rs
@@ -262,6 +262,17 @@
         Err(TrialError::Edit(failure.error.into()))
     }
 
+    /// Vouches through the first live host that `incarnation` has ended.
+    pub async fn vouch_ended(&self, incarnation: &str) -> Result<(), TrialError> {
+        let index = self.live_hosts().first().copied().unwrap_or(0);
+        let mut client = HttpClient::new(None, self.plan.hosts[index].admin, CALL_MS);
+        let reason = Bytes::from("the trial killed it");
+        client
+            .call_ok("POST", &format!("/ended/{incarnation}"), reason)
+            .await?;
+        Ok(())
+    }
+
     /// Makes a change through the first live host, whatever its object's revision.
     pub async fn change(&self, change: WireChange) -> Result<EditAnswer, TrialError> {
         let index = self.live_hosts().first().copied().unwrap_or(0);
