--- a/crates/daemon/src/host_state.rs
+++ b/crates/daemon/src/host_state.rs
@@ -322,8 +322,8 @@
     pub fn alive_hosts(&self, now: ClockTime) -> Vec<HostAddress> {
         let own = (!self.stopping).then(|| self.own.address.clone());
         self.alive_peers(now)
-            .into_iter()
-            .map(|(_, address)| address.clone())
+            .into_values()
+            .cloned()
             .chain(own)
             .collect()
     }
@@ -331,11 +331,7 @@
     /// Incarnations that take part, this one included unless it is stopping.
     pub fn alive_incarnations(&self, now: ClockTime) -> Vec<IncarnationId> {
         let own = (!self.stopping).then_some(self.own.incarnation);
-        self.alive_peers(now)
-            .into_iter()
-            .map(|(incarnation, _)| incarnation)
-            .chain(own)
-            .collect()
+        self.alive_peers(now).into_keys().chain(own).collect()
     }
 
     /// Peers that were heard lately, and holders that are connected and not known to be silent.
