Never refuse a written request as not run after a failed second attempt

Cause: found on reading. When a second attempt of an idempotent request ended before its write (its token had expired, no instance was left, the evidence had aged), the refusal of that attempt was answered, which says "not run", although the first attempt had been written.

Ruled out: bookings, which have no second attempt after a write.

Change: a refusal after an unresolved write says upstream_failed and "unknown"; the life of a token is looked at before its first write alone, since the token is spent then.

--- a/crates/daemon/src/forwarding.rs
+++ b/crates/daemon/src/forwarding.rs
@@ -1,6 +1,7 @@
 //! Sends an admitted request to an instance and relays the answer.
 //!
-//! Invariants: a request that is not idempotent is written at most once; a
+//! Invariants: a request that is not idempotent is written at most once; one
+//! that was written and not answered is never refused as "not run"; a
 //! connection is kept only after its whole answer was relayed; the caller's
 //! key is in no header or query that is written.
 
@@ -95,7 +96,7 @@
                 Ok(response) => return Ok(response),
                 Err(AttemptEnd::Final(refusal)) => {
                     self.return_unspent();
-                    return Err(refusal);
+                    return Err(self.truthful(refusal));
                 }
                 Err(AttemptEnd::Again(reason, unsent)) => {
                     if !self.may_try_again(reason) {
@@ -186,7 +187,7 @@
         if !state.is_fresh(now) || state.epoch != token.epoch {
             return Err(Refusal::new(RefusalReason::Stale));
         }
-        if token.expires <= now {
+        if !self.settled && token.expires <= now {
             return Err(Refusal::new(RefusalReason::TokenExpired));
         }
         let config = state.fold.config();
@@ -334,6 +335,14 @@
         Refusal::new(reason)
     }
 
+    /// The refusal, which never says "not run" of a request that an earlier attempt wrote.
+    fn truthful(&self, refusal: Refusal) -> Refusal {
+        if self.unresolved_writes == 0 || refusal.reason.may_have_run() {
+            return refusal;
+        }
+        Refusal::after(RefusalReason::UpstreamFailed, refusal.wait_millis)
+    }
+
     fn return_unspent(&self) {
         if !self.settled
             && let Some(token) = self.admitted.token
--- a/crates/trial/src/scenario_catalogue.rs
+++ b/crates/trial/src/scenario_catalogue.rs
@@ -11,6 +11,7 @@
 use crate::scenario_gray::run_error_part;
 use crate::scenario_gray::run_flap;
 use crate::scenario_gray::run_hang;
+use crate::scenario_gray::run_late_failure;
 use crate::scenario_gray::run_path_cut;
 use crate::scenario_gray::run_slow_one;
 use crate::scenario_gray::run_slow_some;
@@ -53,7 +54,7 @@
 }
 
 /// Every scenario.
-pub const SCENARIOS: [ScenarioEntry; 25] = [
+pub const SCENARIOS: [ScenarioEntry; 26] = [
     ScenarioEntry {
         name: "calm",
         summary: "44 hosts, what control costs idle and under a calm load",
@@ -149,6 +150,11 @@
         summary: "one instance cuts its answers short, another answers other requests",
         run: |options| Box::pin(run_wrong_answer(options)),
     },
+    ScenarioEntry {
+        name: "late-failure",
+        summary: "three instances answer late and then cut the answer",
+        run: |options| Box::pin(run_late_failure(options)),
+    },
     ScenarioEntry {
         name: "flap",
         summary: "one instance fails for two seconds in every five",
--- a/crates/trial/src/scenario_gray.rs
+++ b/crates/trial/src/scenario_gray.rs
@@ -280,6 +280,24 @@
     .await
 }
 
+/// Three instances answer late and then cut the answer; a second attempt may find nothing left.
+///
+/// What ran must not be refused as not run, whatever ends the second attempt.
+pub async fn run_late_failure(options: TrialOptions) -> Result<TrialReport, TrialError> {
+    let fault = FaultScript {
+        slow_factor: 200,
+        short: true,
+        ..FaultScript::default()
+    };
+    let faulty = vec![FAULTY, FAULTY + 1, FAULTY + 2];
+    let faults = faulty.iter().map(|instance| (*instance, fault)).collect();
+    let expected = GrayExpectation {
+        faulty,
+        detection_ms: None,
+    };
+    run_faults(options, faults, expected).await
+}
+
 /// Every instance takes five times as long; nobody may be ejected.
 pub async fn run_all_slow(options: TrialOptions) -> Result<TrialReport, TrialError> {
     let fault = FaultScript {
