Keep an instance's own word that it leaves against a listing that lags

Cause: found on reading. An instance that answered that it drains was marked as leaving, and the next change of the listing, which may be older, put it back in use.

Seen failing first: own_word_of_leaving_outlives_a_listing_that_lags, left Some(instance0), right None.

Change: its own word holds for 30 s beside the listing; a listing that shows it live afterwards brings it back.

--- a/crates/daemon/src/admin_server.rs
+++ b/crates/daemon/src/admin_server.rs
@@ -223,7 +223,7 @@
             service: instance.service.clone(),
             address: instance.address,
             data_centre: instance.data_centre.clone(),
-            state: if instance.leaving {
+            state: if instance.is_leaving(now) {
                 "leaving".into()
             } else if instance.is_ejected(now) {
                 "ejected".into()
--- a/crates/daemon/src/evidence_exchange.rs
+++ b/crates/daemon/src/evidence_exchange.rs
@@ -153,7 +153,7 @@
     let members: Vec<JudgedMember> = state
         .pool
         .members(&report.service)
-        .filter(|instance| !instance.leaving)
+        .filter(|instance| !instance.is_leaving(now))
         .map(|instance| JudgedMember {
             address: instance.address,
             healthy: instance.is_healthy(now) || instance.is_ejected(now),
--- a/crates/daemon/src/instance_slot.rs
+++ b/crates/daemon/src/instance_slot.rs
@@ -71,7 +71,7 @@
             .state
             .borrow_mut()
             .pool
-            .note_leaving(self.instance);
+            .note_leaving(self.instance, ClockTime::now());
     }
 }
 
--- a/crates/state/src/instance_pool.rs
+++ b/crates/state/src/instance_pool.rs
@@ -31,6 +31,7 @@
 const FIRST_AVOID_MS: u64 = 1_000;
 const MAX_AVOID_MS: u64 = 30_000;
 const COLD_MS: u64 = 2_000;
+const OWN_WORD_MS: u64 = 30_000;
 const VERDICT_LIFE_MS: u64 = 3_000;
 const OTHER_DATA_CENTRE_MICROS: u64 = 2_000;
 const INITIAL_LATENCY_MICROS: u64 = 2_000;
@@ -101,6 +102,7 @@
             latency_micros: INITIAL_LATENCY_MICROS,
             avoided_until: ClockTime::default(),
             working: Vec::new(),
+            drains_until: ClockTime::default(),
             failures: 0,
             avoid_millis: FIRST_AVOID_MS,
             cold_until,
@@ -121,9 +123,9 @@
         }
     }
 
-    /// Marks `id` as leaving, by its own word.
-    pub fn note_leaving(&mut self, id: InstanceId) {
-        self.instances[id].leaving = true;
+    /// Marks `id` as leaving, by its own word, which a listing that lags does not take back.
+    pub fn note_leaving(&mut self, id: InstanceId, now: ClockTime) {
+        self.instances[id].drains_until = now.plus(OWN_WORD_MS);
     }
 
     /// State of `id`.
@@ -372,7 +374,7 @@
             .count() as u32;
         let total = self
             .members(service)
-            .filter(|instance| !instance.leaving)
+            .filter(|instance| !instance.is_leaving(now))
             .count() as u32;
         (healthy, floor_of(total, floor_percent))
     }
--- a/crates/state/src/instance_state.rs
+++ b/crates/state/src/instance_state.rs
@@ -19,13 +19,14 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: CompactString,
-    /// Whether it takes no new work.
+    /// Whether the listing shows it as leaving, or not at all.
     pub leaving: bool,
     /// Smoothed latency in microseconds.
     pub latency_micros: u64,
     /// Until when this host avoids it.
     pub avoided_until: ClockTime,
     pub(crate) working: Vec<WorkingRequest>,
+    pub(crate) drains_until: ClockTime,
     pub(crate) failures: u32,
     pub(crate) avoid_millis: u64,
     pub(crate) cold_until: ClockTime,
@@ -52,9 +53,14 @@
         self.weight == 0 && self.verdict_until > now
     }
 
+    /// Whether it takes no new work, by the listing or by its own word.
+    pub fn is_leaving(&self, now: ClockTime) -> bool {
+        self.leaving || self.drains_until > now
+    }
+
     /// Whether this host may send it requests.
     pub fn is_usable(&self, now: ClockTime) -> bool {
-        !self.leaving && self.avoided_until <= now && !self.is_ejected(now)
+        !self.is_leaving(now) && self.avoided_until <= now && !self.is_ejected(now)
     }
 
     /// Whether it counts towards the floor.
--- a/crates/state/tests/instance_pool.rs
+++ b/crates/state/tests/instance_pool.rs
@@ -69,3 +69,21 @@
     assert!(pool.choose("stock", "dc1", now, (0, 1), &[]).is_some());
     assert!(pool.choose("stock", "dc1", now, (0, 1), &[]).is_none());
 }
+
+#[test]
+fn own_word_of_leaving_outlives_a_listing_that_lags() {
+    let mut pool = pool_of(1);
+    let now = ClockTime::from_millis(1_000);
+    let id = pool.choose("stock", "dc1", now, (0, 0), &[]).unwrap();
+    pool.note_leaving(id, now);
+    pool.note("stock", address(0), "dc1", false, now);
+    assert_eq!(
+        pool.choose("stock", "dc1", now.plus(5_000), (0, 0), &[]),
+        None
+    );
+    pool.note("stock", address(0), "dc1", false, now.plus(60_000));
+    assert!(
+        pool.choose("stock", "dc1", now.plus(60_000), (0, 0), &[])
+            .is_some()
+    );
+}
