Tell why an instance is ejected on every host's status

Cause: status named ejected instances, but the reason was known to the home of the service alone, and a person on call cannot know which host that is.

Change: a verdict carries its reason to every host that follows it; status shows it.

--- a/crates/coordination/src/service_judge.rs
+++ b/crates/coordination/src/service_judge.rs
@@ -314,8 +314,12 @@
                     JudgedPhase::Ejected { since, .. } => (since, 0),
                     JudgedPhase::Returning { since } => (since, return_weight(since, now)?),
                 };
-                let address = *address;
-                Some((since, InstanceVerdict { address, weight }))
+                let verdict = InstanceVerdict {
+                    address: *address,
+                    weight,
+                    reason: instance.reason.map_or("", EjectionReason::name).into(),
+                };
+                Some((since, verdict))
             })
             .collect();
         verdicts.sort_unstable_by_key(|(since, verdict)| (*since, verdict.address));
--- a/crates/daemon/src/admin_server.rs
+++ b/crates/daemon/src/admin_server.rs
@@ -232,6 +232,7 @@
             } else {
                 "live".into()
             },
+            reason: instance.reason.clone(),
             outstanding: instance.outstanding() as u32,
             latency_micros: instance.latency_micros,
         })
--- a/crates/daemon/src/evidence_exchange.rs
+++ b/crates/daemon/src/evidence_exchange.rs
@@ -21,6 +21,7 @@
 use crocushoist_protocol::PeerServiceClient;
 use crocushoist_protocol::VerdictAnswer;
 use crocushoist_protocol::WireEvidence;
+use crocushoist_protocol::WireVerdict;
 use crocushoist_state::ClockTime;
 use crocushoist_state::ExceptionScope;
 use crocushoist_state::IncarnationId;
@@ -114,7 +115,7 @@
             return;
         }
     };
-    take_answer(&mut context.state.borrow_mut(), &service, &answer);
+    take_answer(&mut context.state.borrow_mut(), &service, answer);
 }
 
 /// Home of a service, as this host sees it.
@@ -166,7 +167,7 @@
     let verdicts = judge
         .judge(&members, floor_percent, now)
         .into_iter()
-        .map(|verdict| (verdict.address, verdict.weight))
+        .map(WireVerdict::from)
         .collect();
     VerdictAnswer {
         verdicts,
@@ -174,15 +175,12 @@
     }
 }
 
-fn take_answer(state: &mut HostState, service: &str, answer: &VerdictAnswer) {
+fn take_answer(state: &mut HostState, service: &str, answer: VerdictAnswer) {
     let floor_percent = floor_percent_of(state, service);
     let verdicts: Vec<InstanceVerdict> = answer
         .verdicts
-        .iter()
-        .map(|(address, weight)| InstanceVerdict {
-            address: *address,
-            weight: *weight,
-        })
+        .into_iter()
+        .map(InstanceVerdict::from)
         .collect();
     let now = ClockTime::now();
     state.pool.take_verdicts(
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -44,6 +44,7 @@
 pub use peer_service::SnapshotAnswer;
 pub use peer_service::VerdictAnswer;
 pub use peer_service::WireEvidence;
+pub use peer_service::WireVerdict;
 pub use protocol_error::ProtocolError;
 pub use refusal_reason::RefusalReason;
 pub use snapshot_codec::decode_snapshot;
--- a/crates/protocol/src/peer_service.rs
+++ b/crates/protocol/src/peer_service.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crocushoist_state::InstanceEvidence;
+use crocushoist_state::InstanceVerdict;
 
 use crate::ListedHost;
 use crate::WireHolder;
@@ -154,11 +155,42 @@
     pub evidence: Vec<WireEvidence>,
 }
 
+/// What the home of a service decided about one instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct WireVerdict {
+    /// Where the instance listens.
+    pub address: SocketAddr,
+    /// Share of its requests in percent that it gets, zero if it is ejected.
+    pub weight: u8,
+    /// Why it was ejected.
+    pub reason: CompactString,
+}
+
+impl From<InstanceVerdict> for WireVerdict {
+    fn from(verdict: InstanceVerdict) -> Self {
+        WireVerdict {
+            address: verdict.address,
+            weight: verdict.weight,
+            reason: verdict.reason,
+        }
+    }
+}
+
+impl From<WireVerdict> for InstanceVerdict {
+    fn from(verdict: WireVerdict) -> Self {
+        InstanceVerdict {
+            address: verdict.address,
+            weight: verdict.weight,
+            reason: verdict.reason,
+        }
+    }
+}
+
 /// What the home of a service decided.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct VerdictAnswer {
-    /// Instances that are not wholly in use with their weights, the worst first.
-    pub verdicts: Vec<(SocketAddr, u8)>,
+    /// Instances that are not wholly in use, the worst first.
+    pub verdicts: Vec<WireVerdict>,
     /// Median over the instances of their mean latency in microseconds.
     pub typical_micros: u64,
 }
--- a/crates/protocol/src/status_report.rs
+++ b/crates/protocol/src/status_report.rs
@@ -51,6 +51,8 @@
     pub data_centre: CompactString,
     /// `live`, `leaving`, `ejected` or `avoided`.
     pub state: CompactString,
+    /// Why it was ejected last, empty if it never was.
+    pub reason: CompactString,
     /// Requests of the answering host that it is working on.
     pub outstanding: u32,
     /// Smoothed latency in microseconds.
--- a/crates/state/src/instance_pool.rs
+++ b/crates/state/src/instance_pool.rs
@@ -106,6 +106,7 @@
             failures: 0,
             avoid_millis: FIRST_AVOID_MS,
             cold_until,
+            reason: CompactString::default(),
             weight: WHOLE_WEIGHT,
             verdict_until: ClockTime::default(),
             evidence: InstanceEvidence::default(),
@@ -255,6 +256,7 @@
             ejected_any |= verdict.weight == 0 && is_healthy;
             let instance = &mut self.instances[id];
             instance.weight = verdict.weight;
+            instance.reason = verdict.reason.clone();
             instance.verdict_until = now.plus(VERDICT_LIFE_MS);
         }
         if ejected_any {
--- a/crates/state/src/instance_state.rs
+++ b/crates/state/src/instance_state.rs
@@ -30,6 +30,8 @@
     pub(crate) failures: u32,
     pub(crate) avoid_millis: u64,
     pub(crate) cold_until: ClockTime,
+    /// Why the evidence of all hosts together ejected it last.
+    pub reason: CompactString,
     pub(crate) weight: u8,
     pub(crate) verdict_until: ClockTime,
     pub(crate) evidence: InstanceEvidence,
--- a/crates/tool/src/status_view.rs
+++ b/crates/tool/src/status_view.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 
 use crocushoist_protocol::HostReport;
+use crocushoist_protocol::InstanceReport;
 use crocushoist_protocol::ReasonCount;
 use crocushoist_protocol::StatusReport;
 use crocushoist_protocol::WireChange;
@@ -182,13 +183,26 @@
     {
         writeln!(
             text,
-            "  {} of {} in {}: {}",
-            instance.address, instance.service, instance.data_centre, instance.state
+            "  {} of {} in {}: {}{}",
+            instance.address,
+            instance.service,
+            instance.data_centre,
+            instance.state,
+            ejected_for(instance)
         )?;
     }
     Ok(())
 }
 
+/// Why an instance is ejected.
+fn ejected_for(instance: &InstanceReport) -> String {
+    if instance.state == "ejected" {
+        format!(", {}", instance.reason.replace('_', " "))
+    } else {
+        String::new()
+    }
+}
+
 fn write_counts(text: &mut String, title: &str, counts: &[ReasonCount]) -> std::fmt::Result {
     if counts.is_empty() {
         return Ok(());
