--- a/crates/daemon/src/host_state.rs
+++ b/crates/daemon/src/host_state.rs
@@ -91,7 +91,7 @@
     pub epoch: u64,
     /// Whether the host is stopping.
     pub stopping: bool,
-    /// Records that could not be decoded.
+    /// Records that could not be decoded and were not counted yet.
     pub unreadable: u64,
     hurry_until: ClockTime,
 }
--- a/crates/daemon/src/peer_tasks.rs
+++ b/crates/daemon/src/peer_tasks.rs
@@ -51,6 +51,8 @@
 fn refresh_roles(context: &HostContext, now: ClockTime) -> HashSet<SocketAddr> {
     let mut state = context.state.borrow_mut();
     state.forget_silent(now);
+    let unreadable = std::mem::take(&mut state.unreadable);
+    context.metrics.unreadable_records.inc_by(unreadable);
     state.settle(now);
     state.roles = PeerRoles::new(&state, now);
     state.roles.linked.clone()
--- a/crates/trial/src/process_group.rs
+++ b/crates/trial/src/process_group.rs
@@ -81,11 +81,6 @@
             .find(|(known, _)| known == name);
         newest.is_none_or(|(_, child)| matches!(child.try_wait(), Ok(Some(_))))
     }
-
-    /// Log lines of the process called `name`.
-    pub fn log_of(&self, name: &str) -> String {
-        std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
-    }
 }
 
 impl Drop for ProcessGroup {
