Pass over a hub that is behind, though it is heard

Cause: any datagram from a host cleared the mark by which it was passed over, and a hub that is behind is heard all the time. Hosts went back to it at once and changed hubs every 60 ms. A hub's word that it stops was sent and read by nobody.

Change: silence and being unfit (behind, leaving) are separate marks; only silence ends by being heard. A new registration ends both.

Ruled out: a longer mark for both (a silent hub would stay away after it is back). Before: the new test hub_that_is_behind_stays_passed_over_though_it_is_heard cannot be written, as the one mark is cleared.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -26,6 +26,7 @@
 
 use crate::edge_metrics::EdgeMetrics;
 use crate::edge_settings::EdgeSettings;
+use crate::hub_doubt::HubDoubt;
 
 /// Milliseconds that a short call to the store may take.
 pub(crate) const STORE_CALL_MS: u64 = 1_000;
@@ -87,8 +88,8 @@
     pub(crate) fleet: RefCell<FleetView>,
     /// Whether this host takes itself for the hub of its data centre.
     pub(crate) is_hub: Cell<bool>,
-    /// Raised when the hub knows less of the list of instances than this host.
-    pub(crate) doubts_hub: Cell<bool>,
+    /// Set when the hub answered, but another one shall be chosen.
+    pub(crate) hub_doubt: Cell<Option<HubDoubt>>,
     /// Raised when the registrations shall be read again.
     pub(crate) wants_roster: Cell<bool>,
     /// Newest version that a hub told of.
@@ -132,7 +133,7 @@
             ledger: RefCell::default(),
             fleet: RefCell::default(),
             is_hub: Cell::new(false),
-            doubts_hub: Cell::new(false),
+            hub_doubt: Cell::new(None),
             wants_roster: Cell::new(true),
             told_version: Cell::new(0),
             stopping: Cell::new(false),
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -12,6 +12,7 @@
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::EdgeContext;
+use crate::hub_doubt::HubDoubt;
 use crate::listing_reader::log_change;
 use crate::peer_message::HostReport;
 use crate::peer_message::HubAnswer;
@@ -115,7 +116,6 @@
     let fleet = context.fleet.borrow();
     HubAnswer {
         number: report.number,
-        is_follower: !context.is_hub.get(),
         is_leaving: context.stopping.get(),
         config_version: context.config_version(),
         evidence_age: context.evidence.borrow().age(now),
@@ -167,9 +167,12 @@
         // A hub that lost the store still answers, with a list that other hosts can renew.
         let own_age = context.listing_age(now);
         let is_behind = own_age.is_some_and(|own| own + BEHIND_MS < now.since(told));
-        context.doubts_hub.set(is_behind);
+        context.hub_doubt.set(is_behind.then_some(HubDoubt::Behind));
         context.note_listed(told);
     }
+    if answer.is_leaving {
+        context.hub_doubt.set(Some(HubDoubt::Leaving));
+    }
     for belief in &answer.beliefs {
         let faulty = f64::from(belief.faulty) / THOUSAND;
         table.take_told(belief.instance, faulty, f64::from(belief.latency_ms), now);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod edge_stop;
 mod forward_head;
 mod forward_plan;
+mod hub_doubt;
 mod hub_exchange;
 mod instance_hold;
 mod listing_reader;
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -15,6 +15,7 @@
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::SharedEdge;
+use crate::hub_doubt::HubDoubt;
 use crate::hub_exchange::log_limited;
 use crate::hub_exchange::new_answer;
 use crate::hub_exchange::new_report;
@@ -126,18 +127,22 @@
         let is_silent = reports
             .unanswered_since
             .is_some_and(|since| now.since(since) > HUB_SILENT_MS);
-        let is_behind = self.context.doubts_hub.take();
-        if (is_silent || is_behind)
+        let doubt = self.context.hub_doubt.take();
+        if (is_silent || doubt.is_some())
             && let Some(hub) = reports.hub.take()
         {
-            roster.suspect(hub, now);
+            if doubt.is_some() {
+                roster.note_unfit(hub, now);
+            } else {
+                roster.suspect(hub, now);
+            }
             self.context.wants_roster.set(true);
             reports.unanswered_since = None;
             info!(self.context.logger, "hub passed over"; "hub" => hub.to_string(),
-                "silent" => is_silent, "behind" => is_behind);
+                "cause" => doubt.map_or("silent", HubDoubt::name));
         }
         if self.context.stopping.get() {
-            roster.suspect(self.context.own.peers, now);
+            roster.note_unfit(self.context.own.peers, now);
         }
         let hub = roster
             .hub_of(&self.context.own.data_centre, now)
--- a/crates/policy/src/deployment_config.rs
+++ b/crates/policy/src/deployment_config.rs
@@ -104,8 +104,6 @@
     pub version: u64,
     /// Routes.
     pub routes: RouteIndex,
-    /// Names of the services.
-    pub services: Vec<CompactString>,
     /// Workspaces.
     pub workspaces: Vec<WorkspaceSpec>,
     /// Index of the workspace of each key.
--- a/crates/policy/src/host_roster.rs
+++ b/crates/policy/src/host_roster.rs
@@ -13,9 +13,12 @@
 
 use crocushoist_state::ClockTime;
 
-/// Milliseconds that a silent candidate is passed over.
+/// Milliseconds that a silent candidate is passed over, unless it is heard.
 const SUSPECT_MS: u64 = 6_000;
 
+/// Milliseconds that a candidate is passed over that is heard but does not do as a hub.
+const UNFIT_MS: u64 = 6_000;
+
 /// A host as it registered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostCard {
@@ -35,6 +38,7 @@
     /// Cards by the address for hosts, each with the offset of its registration.
     cards: BTreeMap<SocketAddr, (u64, HostCard)>,
     suspects: HashMap<SocketAddr, ClockTime>,
+    unfit: HashMap<SocketAddr, ClockTime>,
 }
 
 impl HostRoster {
@@ -45,6 +49,7 @@
             return;
         }
         self.suspects.remove(&card.peers);
+        self.unfit.remove(&card.peers);
         self.cards.insert(card.peers, (offset, card));
     }
 
@@ -54,11 +59,16 @@
             .retain(|_, (at, card)| card.callers != callers || *at >= offset);
     }
 
-    /// Passes the host at `peers` over for a while.
+    /// Passes the silent host at `peers` over for a while.
     pub fn suspect(&mut self, peers: SocketAddr, now: ClockTime) {
         self.suspects.insert(peers, now.plus(SUSPECT_MS));
     }
 
+    /// Passes the host at `peers` over for a while, whether it is heard or not.
+    pub fn note_unfit(&mut self, peers: SocketAddr, now: ClockTime) {
+        self.unfit.insert(peers, now.plus(UNFIT_MS));
+    }
+
     /// Notes that the host at `peers` was heard.
     pub fn clear_suspicion(&mut self, peers: SocketAddr) {
         self.suspects.remove(&peers);
@@ -101,6 +111,9 @@
     }
 
     fn is_suspected(&self, peers: SocketAddr, now: ClockTime) -> bool {
-        self.suspects.get(&peers).is_some_and(|until| now < *until)
+        let marks = [&self.suspects, &self.unfit];
+        marks
+            .iter()
+            .any(|passed_over| passed_over.get(&peers).is_some_and(|until| now < *until))
     }
 }
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -180,10 +180,10 @@
         if offset >= state.changed_at && is_further {
             state.presence = presence;
             state.changed_at = offset;
-            change = match presence {
-                Presence::Listed => ListingChange::Updated,
-                Presence::Lapsing(_) => ListingChange::Lapsed,
-                Presence::Gone => ListingChange::Gone,
+            change = if presence == Presence::Gone {
+                ListingChange::Gone
+            } else {
+                ListingChange::Lapsed
             };
         }
         change
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -48,7 +48,6 @@
     DeploymentConfig {
         version: 1,
         routes: index,
-        services: Vec::new(),
         workspaces,
         keys: HashMap::new(),
         limits: CallerLimits {
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -109,6 +109,40 @@
     assert_eq!(roster.hub_of("north", at(6_100)), Some(&card(1, "north")));
 }
 
+#[test]
+fn silent_hub_is_chosen_again_once_it_is_heard() {
+    let mut roster = HostRoster::default();
+    for number in 1..4 {
+        roster.note(u64::from(number), card(number, "north"));
+    }
+    roster.suspect(card(1, "north").peers, at(0));
+    roster.clear_suspicion(card(1, "north").peers);
+    assert_eq!(roster.hub_of("north", at(100)), Some(&card(1, "north")));
+}
+
+#[test]
+fn hub_that_is_behind_stays_passed_over_though_it_is_heard() {
+    let mut roster = HostRoster::default();
+    for number in 1..4 {
+        roster.note(u64::from(number), card(number, "north"));
+    }
+    roster.note_unfit(card(1, "north").peers, at(0));
+    roster.clear_suspicion(card(1, "north").peers);
+    assert_eq!(roster.hub_of("north", at(100)), Some(&card(2, "north")));
+    assert_eq!(roster.hub_of("north", at(6_100)), Some(&card(1, "north")));
+}
+
+#[test]
+fn hub_that_starts_again_is_fit_again() {
+    let mut roster = HostRoster::default();
+    for number in 1..4 {
+        roster.note(u64::from(number), card(number, "north"));
+    }
+    roster.note_unfit(card(1, "north").peers, at(0));
+    roster.note(9, card(1, "north"));
+    assert_eq!(roster.hub_of("north", at(100)), Some(&card(1, "north")));
+}
+
 #[test]
 fn registration_that_is_out_of_date_is_passed_over() {
     let mut roster = HostRoster::default();
