Keep limits whole while hosts start or do not hear each other

And a hub gave out a whole limit while up to four tenths of the hosts were not heard, though these keep to parts of it.

Change: registrations are read before and after registering; until the first read limited workspaces are refused as no_hosts and no host is a hub. Only a hub that heard a whole window clears a mark. A host whose hub turns out to follow another one reads the registrations again. What hosts that are not heard may admit, by the demand at the others, is held back from a limit; another hub counts as not heard after 0.7 s.

--- a/crates/edge/src/caller_path.rs
+++ b/crates/edge/src/caller_path.rs
@@ -204,6 +204,9 @@
 }
 
 fn pass_gate(context: &EdgeContext, workspace: &WorkspaceSpec) -> Result<(), EdgeRefusal> {
+    if workspace.rate_per_s > 0.0 && !context.knows_hosts.get() {
+        return Err(EdgeRefusal::after(EdgeReason::NoHosts, ELSEWHERE_WAIT_MS));
+    }
     let now = ClockTime::now();
     let hosts = context.fleet_size();
     let mut gates = context.gates.borrow_mut();
--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -90,6 +90,9 @@
     pub(crate) is_hub: Cell<bool>,
     /// Set when the hub answered, but another one shall be chosen.
     pub(crate) hub_doubt: Cell<Option<HubDoubt>>,
+    /// Whether the registrations were read; until then no host is taken for a hub and
+    /// this host's part of a limit is not known.
+    pub(crate) knows_hosts: Cell<bool>,
     /// Raised when the registrations shall be read again.
     pub(crate) wants_roster: Cell<bool>,
     /// Newest version that a hub told of.
@@ -134,6 +137,7 @@
             fleet: RefCell::default(),
             is_hub: Cell::new(false),
             hub_doubt: Cell::new(None),
+            knows_hosts: Cell::new(false),
             wants_roster: Cell::new(true),
             told_version: Cell::new(0),
             stopping: Cell::new(false),
@@ -184,7 +188,9 @@
         let bound = self.settings.revoke_ms as f64 * OUT_OF_TOUCH_SHARE;
         let age = self.evidence.borrow().age(now);
         let is_in_touch = age.is_some_and(|age| age as f64 <= bound);
-        let can_serve = self.config.borrow().is_some() && self.listed_at.get().is_some();
+        let can_serve = self.config.borrow().is_some()
+            && self.listed_at.get().is_some()
+            && self.knows_hosts.get();
         is_in_touch && can_serve && !self.stopping.get()
     }
 
--- a/crates/edge/src/edge_refusal.rs
+++ b/crates/edge/src/edge_refusal.rs
@@ -16,6 +16,8 @@
 pub(crate) enum EdgeReason {
     /// No configuration is known yet.
     NoConfig,
+    /// The registered hosts, which share the limits, are not known yet.
+    NoHosts,
     /// The proof of the configuration is too old to admit a keyed request.
     StaleEvidence,
     /// No route matches.
@@ -60,6 +62,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             EdgeReason::NoConfig => "no_config",
+            EdgeReason::NoHosts => "no_hosts",
             EdgeReason::StaleEvidence => "stale_evidence",
             EdgeReason::NoRoute => "no_route",
             EdgeReason::KeyMissing => "key_missing",
@@ -85,6 +88,7 @@
             EdgeReason::BodyUnread => StatusCode::REQUEST_TIMEOUT,
             EdgeReason::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             EdgeReason::NoConfig
+            | EdgeReason::NoHosts
             | EdgeReason::StaleEvidence
             | EdgeReason::Overloaded
             | EdgeReason::NoInstance
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -116,6 +116,7 @@
     let fleet = context.fleet.borrow();
     HubAnswer {
         number: report.number,
+        is_follower: !context.is_hub.get(),
         is_leaving: context.stopping.get(),
         config_version: context.config_version(),
         evidence_age: context.evidence.borrow().age(now),
@@ -170,6 +171,10 @@
         context.hub_doubt.set(is_behind.then_some(HubDoubt::Behind));
         context.note_listed(told);
     }
+    if answer.is_follower {
+        // It may know an earlier host that registered after this one read.
+        context.wants_roster.set(true);
+    }
     if answer.is_leaving {
         context.hub_doubt.set(Some(HubDoubt::Leaving));
     }
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -55,6 +55,8 @@
 pub(crate) struct HubAnswer {
     /// Number of the report that is answered.
     pub(crate) number: u32,
+    /// Whether the host that answers follows another hub itself.
+    pub(crate) is_follower: bool,
     /// Whether it is about to stop.
     pub(crate) is_leaving: bool,
     /// Version of the hub's configuration.
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -122,6 +122,9 @@
 
     /// Hub of this data centre, after a silent one is passed over.
     fn hub(&self, now: ClockTime) -> Option<SocketAddr> {
+        if !self.context.knows_hosts.get() {
+            return None;
+        }
         let mut roster = self.context.roster.borrow_mut();
         let mut reports = self.reports.borrow_mut();
         let is_silent = reports
--- a/crates/edge/src/roster_keeper.rs
+++ b/crates/edge/src/roster_keeper.rs
@@ -1,7 +1,7 @@
 //! Registers this host in the store and follows the registrations.
 //!
 //! A host reads the registrations at its start and again when its hub falls
-//! silent; a hub follows them, so that it steps back for an earlier host. The
+//! silent or turns out to follow another host; a hub follows them, so that it steps back for an earlier host. The
 //! marks of nearly full windows stand in the same topic and are read with them.
 
 use std::time::Duration;
@@ -33,7 +33,7 @@
 /// Milliseconds between reads of a hub.
 const HUB_READ_EVERY_MS: u64 = 3_000;
 
-/// Milliseconds between tries to register.
+/// Milliseconds between tries to register and to read at the start.
 const RETRY_MS: u64 = 400;
 
 /// Milliseconds between tries to read the registrations.
@@ -45,28 +45,23 @@
 /// Registers this host and follows the registrations until the process ends.
 pub(crate) async fn keep_roster(context: SharedEdge) {
     let mut client = context.store_client(STORE_CALL_MS);
+    // The first read tells the other hosts and the marks, at once after a restart of
+    // all hosts; the second one tells who registered meanwhile.
+    let mut next_offset = read_until_done(&context, &mut client, None).await;
     register(&context, &mut client).await;
-    let mut next_offset: Option<u64> = None;
-    let mut since_read_ms = 0;
-    let mut is_settled = false;
+    next_offset = read_until_done(&context, &mut client, next_offset).await;
+    let mut since_read_ms = HUB_READ_EVERY_MS - SETTLED_MS;
     loop {
         let is_due = context.is_hub.get() && since_read_ms >= HUB_READ_EVERY_MS;
         let is_wanted = context.wants_roster.get() && since_read_ms >= REREAD_MS;
         if is_wanted || next_offset.is_none() || is_due {
             match read(&context, &mut client, next_offset).await {
                 Ok(offset) => {
-                    context.metrics.count_store_call("ok");
                     next_offset = offset;
                     context.wants_roster.set(offset.is_none());
-                    since_read_ms = if is_settled {
-                        0
-                    } else {
-                        HUB_READ_EVERY_MS - SETTLED_MS
-                    };
-                    is_settled = true;
+                    since_read_ms = 0;
                 }
                 Err(failure) => {
-                    context.metrics.count_store_call("failed");
                     warn!(context.logger, "registrations not read"; "cause" => %failure);
                     sleep(Duration::from_millis(REREAD_MS)).await;
                 }
@@ -80,6 +75,23 @@
     }
 }
 
+/// Reads the registrations, again and again until that succeeds; the next offset.
+async fn read_until_done(
+    context: &EdgeContext,
+    client: &mut StoreClient,
+    from: Option<u64>,
+) -> Option<u64> {
+    loop {
+        match read(context, client, from).await {
+            Ok(offset) => return offset,
+            Err(failure) => {
+                warn!(context.logger, "registrations not read"; "cause" => %failure);
+                sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
 async fn register(context: &EdgeContext, client: &mut StoreClient) {
     let key = context.own.callers.to_string();
     let value = match WireHostRegistration::encode(&context.own) {
@@ -114,20 +126,36 @@
     client: &mut StoreClient,
     from: Option<u64>,
 ) -> Result<Option<u64>, PlatformError> {
-    let Some(from) = from else {
-        let newest = client.newest(StoreTopic::Hosts).await?;
-        take_records(context, &newest.records);
+    let outcome = read_records(client, from).await;
+    let result = if outcome.is_ok() { "ok" } else { "failed" };
+    context.metrics.count_store_call(result);
+    let Some((records, next_offset)) = outcome? else {
+        return Ok(None);
+    };
+    take_records(context, &records);
+    if from.is_none() {
         let mut ledger = context.ledger.borrow_mut();
         ledger.marks.note_read(ClockTime::now());
-        return Ok(Some(newest.end));
+    }
+    let knows_hosts = !context.roster.borrow().is_empty();
+    context.knows_hosts.set(knows_hosts);
+    Ok(Some(next_offset))
+}
+
+/// Records from `from` on and the next offset, `None` if they were dropped.
+async fn read_records(
+    client: &mut StoreClient,
+    from: Option<u64>,
+) -> Result<Option<(Vec<StoreRecord>, u64)>, PlatformError> {
+    let Some(from) = from else {
+        let newest = client.newest(StoreTopic::Hosts).await?;
+        return Ok(Some((newest.records, newest.end)));
     };
     match client.read(StoreTopic::Hosts, from, 0).await? {
         ReadOutcome::Dropped => Ok(None),
         ReadOutcome::Records { records, .. } => {
-            take_records(context, &records);
-            Ok(Some(
-                records.last().map_or(from, |record| record.offset + 1),
-            ))
+            let next_offset = records.last().map_or(from, |record| record.offset + 1);
+            Ok(Some((records, next_offset)))
         }
     }
 }
@@ -136,7 +164,11 @@
 async fn write_mark(context: &EdgeContext, client: &mut StoreClient) {
     let data_centre = &context.own.data_centre;
     let now = ClockTime::now();
-    let due = context.ledger.borrow_mut().marks.due(data_centre, now);
+    let due = {
+        let mut ledger = context.ledger.borrow_mut();
+        let may_clear = ledger.heard_whole_window(now);
+        ledger.marks.due(data_centre, may_clear, now)
+    };
     let Some(marked) = due else {
         return;
     };
--- a/crates/policy/src/hub_ledger.rs
+++ b/crates/policy/src/hub_ledger.rs
@@ -10,9 +10,9 @@
 //! reports to one, so nothing is counted twice.
 //!
 //! Hosts that this hub does not hear may admit requests that it cannot count,
-//! for as long as their proof of the configuration lasts. Until then a hub that
-//! hears less than a clear majority gives out only the part of each limit that
-//! the hosts it hears stand for.
+//! for as long as their proof of the configuration lasts. They keep to their
+//! parts of the limit, or another hub gives these out. Until then a hub gives
+//! out only the part of each limit that the hosts it hears stand for.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -41,6 +41,9 @@
 /// Milliseconds of silence after which another hub's hosts are not named any more.
 const HUB_SILENT_MS: u64 = 2_000;
 
+/// Milliseconds of silence after which another hub may give out its part of a limit; five summaries.
+const HUB_UNHEARD_MS: u64 = 700;
+
 /// Milliseconds between decisions on the paces.
 const ADVANCE_EVERY_MS: u64 = 50;
 
@@ -55,9 +58,6 @@
 /// Milliseconds for which a host that is not heard may still admit keyed requests.
 const UNHEARD_MS: u64 = 5_000;
 
-/// Share of the fleet from which no other part of it can be as large.
-const MAJORITY: f64 = 0.6;
-
 /// What the hub of a data centre adds up.
 #[derive(Clone, Debug)]
 pub struct HubLedger {
@@ -171,6 +171,12 @@
             .is_none_or(|at| now.since(at) < young_ms)
     }
 
+    /// Whether hosts reported here for a whole window.
+    pub fn heard_whole_window(&self, now: ClockTime) -> bool {
+        self.first_report_at
+            .is_some_and(|at| now.since(at) > UNHEARD_MS)
+    }
+
     /// Notes the share of the fleet that is heard, of `registered` hosts while this hub is young.
     ///
     /// Hosts that were not heard for long admit nothing any more and do not count.
@@ -178,7 +184,7 @@
         let of_hubs: u32 = self
             .hubs
             .values()
-            .filter(|told| now.since(told.heard_at) <= HUB_SILENT_MS)
+            .filter(|told| now.since(told.heard_at) <= HUB_UNHEARD_MS)
             .map(|told| told.reporters)
             .sum();
         let heard = self.reporter_count(now) + of_hubs;
@@ -196,14 +202,7 @@
         } else {
             most
         };
-        let heard_share = f64::from(heard) / f64::from(live.max(1));
-        // Hosts without a hub keep to their own parts; only several hubs that do not
-        // hear each other could give out a limit more than once.
-        self.coverage = if heard_share >= MAJORITY {
-            1.0
-        } else {
-            heard_share
-        };
+        self.coverage = (f64::from(heard) / f64::from(live.max(1))).min(1.0);
     }
 
     /// Requests in flight from this data centre, by instance.
@@ -248,9 +247,7 @@
             return;
         }
         // A workspace of which this hub heard nothing for a window used nothing.
-        let heard_whole_window = self
-            .first_report_at
-            .is_some_and(|at| now.since(at) > UNHEARD_MS);
+        let heard_whole_window = self.heard_whole_window(now);
         let mut begun: Vec<u32> = self.pending.keys().copied().collect();
         begun.extend(self.marks.marked(now));
         for workspace in begun {
--- a/crates/policy/src/window_marks.rs
+++ b/crates/policy/src/window_marks.rs
@@ -27,8 +27,8 @@
 
 /// Share that a host without word of a hub admits of a workspace without a mark.
 ///
-/// Its demand is not known; at nine times the usual, half of it fits for the time below.
-const UNTOLD_SHARE: f64 = 0.5;
+/// Its demand is not known; it may have grown since the marks were written.
+const UNTOLD_SHARE: f64 = 0.8;
 
 /// Milliseconds for which that share holds; a hub tells its first shares within half of them.
 const UNTOLD_MS: u64 = 700;
@@ -106,16 +106,26 @@
 
     /// Mark to write for `data_centre`, if the one in the store is out of date.
     ///
-    /// The caller writes it and takes it then.
-    pub fn due(&mut self, data_centre: &str, now: ClockTime) -> Option<MarkedWorkspaces> {
+    /// The caller writes it and takes it then. A hub that heard less than a whole window
+    /// (`may_clear` is false) only adds to the mark, which an earlier hub may have written.
+    pub fn due(
+        &mut self,
+        data_centre: &str,
+        may_clear: bool,
+        now: ClockTime,
+    ) -> Option<MarkedWorkspaces> {
         self.own.retain(|_, at| now.since(*at) <= KEEP_MS);
-        let marked: MarkedWorkspaces = self.own.keys().copied().collect();
+        let mut marked: MarkedWorkspaces = self.own.keys().copied().collect();
+        if !may_clear && let Some(told) = self.told.get(data_centre) {
+            marked.extend(told);
+        }
+        self.read_at?;
         let since_write = self.written_at.map_or(u64::MAX, |at| now.since(at));
         let is_same = match self.told.get(data_centre) {
             Some(told) => *told == marked,
             None => marked.is_empty(),
         };
-        let is_renewal = !marked.is_empty() && since_write >= RENEW_MS;
+        let is_renewal = !self.own.is_empty() && since_write >= RENEW_MS;
         if (is_same && !is_renewal) || since_write < LEAST_WRITE_MS {
             return None;
         }
--- a/crates/policy/src/workspace_pace.rs
+++ b/crates/policy/src/workspace_pace.rs
@@ -51,6 +51,9 @@
 /// Part of a window that is given out; the rest is for what reports miss.
 const GIVEN_OUT: f64 = 0.96;
 
+/// Share of the fleet below which the demand at the rest of it is not told any better.
+const LEAST_COVERAGE: f64 = 0.05;
+
 /// Milliseconds between the admissions that are assumed of a window that is not known.
 const ASSUMED_EVERY_MS: u64 = 250;
 
@@ -153,7 +156,7 @@
 
     /// Share that brings the window to its limit, once the admissions under way are in it.
     fn next_share(&self, limit: PaceLimit, coverage: f64) -> f64 {
-        let whole = window_of(limit) * GIVEN_OUT;
+        let whole = window_of(limit) * GIVEN_OUT - self.unheard_use(limit, coverage);
         // Which of the latest shares is in force at a host is not known: the largest may be.
         let in_force = self
             .shares
@@ -168,8 +171,7 @@
                 let leaving = f64::from(self.leaving_within(REACTION_MS + ahead));
                 (room + leaving) * 1_000.0 / *ahead as f64
             })
-            .fold(f64::INFINITY, f64::min)
-            * coverage;
+            .fold(f64::INFINITY, f64::min);
         let payable = if self.at < self.assumed_until {
             payable.max(limit.rate * USUAL_DEMAND)
         } else {
@@ -181,6 +183,14 @@
         (payable / self.demand_per_s).max(0.0)
     }
 
+    /// Requests that hosts which are not heard may admit in a window.
+    ///
+    /// They are asked for as much as the others, and keep to their part of the limit.
+    fn unheard_use(&self, limit: PaceLimit, coverage: f64) -> f64 {
+        let asked = self.demand_per_s / coverage.max(LEAST_COVERAGE) * WINDOW_MS as f64 / 1_000.0;
+        (1.0 - coverage) * asked.min(window_of(limit))
+    }
+
     /// Admissions that leave the window within `millis` milliseconds.
     fn leaving_within(&self, millis: u64) -> u32 {
         self.admitted
--- a/crates/policy/tests/workspace_limit.rs
+++ b/crates/policy/tests/workspace_limit.rs
@@ -31,6 +31,9 @@
 const WINDOW_MS: u64 = 5_000;
 const WORKSPACE: u32 = 7;
 
+/// Milliseconds that a told share holds at a host.
+const TOLD_MS: u64 = 1_000;
+
 /// Boot clock at the start of the day; machines run longer than a window.
 const BOOT_MS: u64 = 100_000;
 
@@ -61,25 +64,56 @@
 
 /// Plays a day in which `demand` gives the requests a second at a time in milliseconds.
 fn play(limit: PaceLimit, seed: u64, demand: impl Fn(u64) -> f64) -> PlayedDay {
-    play_with_restart(limit, seed, demand, None, 0)
+    play_with(limit, seed, demand, &DayTrouble::default())
 }
 
 /// Plays a day in which all hosts end at `restart_ms` and are back `away_ms` later.
-///
-/// The data centres are back one after the other, as hosts start within 0.3 s.
-/// The marks of the hubs outlive them.
 fn play_with_restart(
     limit: PaceLimit,
     seed: u64,
     demand: impl Fn(u64) -> f64,
+    restart_ms: u64,
+    away_ms: u64,
+) -> PlayedDay {
+    let trouble = DayTrouble {
+        restart_ms: Some(restart_ms),
+        away_ms,
+        ..DayTrouble::default()
+    };
+    play_with(limit, seed, demand, &trouble)
+}
+
+/// What happens to the fleet on a day.
+#[derive(Debug, Default)]
+struct DayTrouble {
+    /// When all hosts end. The data centres are back one after the other, as hosts
+    /// start within 0.3 s; the marks of the hubs outlive them.
     restart_ms: Option<u64>,
+    /// For how long they are away.
     away_ms: u64,
+    /// When the first `cut_hosts` hosts of each data centre that are not hubs hear nobody.
+    cut: std::ops::Range<u64>,
+    cut_hosts: usize,
+    /// When the first data centre and the others do not hear each other.
+    split: std::ops::Range<u64>,
+}
+
+/// Plays a day with `trouble`.
+fn play_with(
+    limit: PaceLimit,
+    seed: u64,
+    demand: impl Fn(u64) -> f64,
+    trouble: &DayTrouble,
 ) -> PlayedDay {
+    let (restart_ms, away_ms) = (trouble.restart_ms, trouble.away_ms);
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let start = ClockTime::from_millis(BOOT_MS);
     let mut gates = vec![WorkspaceGate::new(start); HOSTS];
     let mut told = vec![Some(1.0); HOSTS];
     let mut hubs: Vec<HubLedger> = (0..CENTRES).map(|_| HubLedger::default()).collect();
+    for hub in &mut hubs {
+        hub.marks = read_marks(&[], start);
+    }
     for (host, gate) in gates.iter().enumerate() {
         hubs[host % CENTRES].take_report(teller(host), None, &use_of(gate), start);
     }
@@ -106,7 +140,8 @@
             }
         }
         for (hub, written) in hubs.iter_mut().zip(&mut stored) {
-            if let Some(marked) = hub.marks.due("dc", now) {
+            let may_clear = hub.heard_whole_window(now);
+            if let Some(marked) = hub.marks.due("dc", may_clear, now) {
                 hub.marks.take("dc", marked.clone());
                 *written = marked;
             }
@@ -127,6 +162,13 @@
         day.admitted.push(admitted);
         for host in 0..HOSTS {
             let phase_ms = host as u64 * STEP_MS % REPORT_EVERY_MS;
+            let row = host / CENTRES;
+            if trouble.cut.contains(&at_ms) && (1..=trouble.cut_hosts).contains(&row) {
+                if at_ms > trouble.cut.start + TOLD_MS {
+                    told[host] = None;
+                }
+                continue;
+            }
             if at_ms % REPORT_EVERY_MS == phase_ms && !is_away(host % CENTRES) {
                 let hub = &mut hubs[host % CENTRES];
                 hub.take_report(teller(host), None, &use_of(&gates[host]), now);
@@ -138,10 +180,18 @@
         }
         for hub in 0..CENTRES {
             if at_ms % SUMMARY_EVERY_MS == hub as u64 * 40 && !is_away(hub) {
+                hubs[hub].note_coverage(HOSTS, now);
                 hubs[hub].advance(limit_of, now);
                 let totals = hubs[hub].own_totals();
+                let reporters = hubs[hub].reporter_count(now);
+                let is_split =
+                    |other: usize| trouble.split.contains(&at_ms) && (hub == 0) != (other == 0);
                 for other in (0..CENTRES).filter(|other| *other != hub && !is_away(*other)) {
+                    if is_split(other) {
+                        continue;
+                    }
                     hubs[other].take_summary(teller(100 + hub), "dc", None, &totals, now);
+                    hubs[other].take_hub_load(teller(100 + hub).peers, reporters, Vec::new());
                 }
             }
         }
@@ -246,7 +296,7 @@
         let hot = |at| {
             if at >= from_ms { usual * 6.0 } else { usual }
         };
-        let day = play_with_restart(limit, seed, hot, Some(9_000), away_ms);
+        let day = play_with_restart(limit, seed, hot, 9_000, away_ms);
         let most = most_in_window(&day.admitted);
         assert!(
             f64::from(most) <= allowed,
@@ -268,9 +318,76 @@
     let usual = rate / 1.6;
     // A few seeds have a nearly full window by chance and wait until it empties.
     let refused: u32 = (0..SEEDS)
-        .map(|seed| play_with_restart(limit, seed, |_| usual, Some(RESTART_MS), AWAY_MS).refused)
+        .map(|seed| play_with_restart(limit, seed, |_| usual, RESTART_MS, AWAY_MS).refused)
         .sum();
     // Hosts keep to a part of the limit until a hub tells, for half a second.
     let most = usual * 0.5 * SEEDS as f64;
     assert!(f64::from(refused) <= most, "{refused} of {most} refused");
 }
+
+#[test]
+fn new_hub_does_not_clear_the_mark_of_an_earlier_one() {
+    let at = ClockTime::from_millis;
+    let mut marks = WindowMarks::default();
+    assert_eq!(marks.due("north", false, at(BOOT_MS)), None, "not read yet");
+    marks.take("north", [WORKSPACE].into());
+    marks.note_read(at(BOOT_MS));
+    assert_eq!(marks.due("north", false, at(BOOT_MS + 100)), None);
+    let cleared = marks.due("north", true, at(BOOT_MS + 5_100));
+    assert_eq!(cleared, Some(MarkedWorkspaces::new()));
+}
+
+#[parameterized(
+    few_small = { 20.0, 2 },
+    few_large = { 80.0, 2 },
+    third_small = { 20.0, 4 },
+    third_large = { 80.0, 4 },
+    most_large = { 80.0, 9 },
+)]
+fn hosts_without_a_hub_and_the_others_keep_one_window(rate: f64, cut_hosts: usize) {
+    let limit = PaceLimit { rate, burst: rate };
+    let allowed = (rate * 5.0 + rate) * 1.1 + 20.0;
+    let trouble = DayTrouble {
+        cut: 9_000..13_500,
+        cut_hosts,
+        ..DayTrouble::default()
+    };
+    for seed in 0..20 {
+        let hot = |at| {
+            let times = if at >= 7_000 { 9.0 } else { 1.0 };
+            rate / 1.6 * times
+        };
+        let day = play_with(limit, seed, hot, &trouble);
+        let most = most_in_window(&day.admitted);
+        assert!(
+            f64::from(most) <= allowed,
+            "seed {seed}: {most} of {allowed}"
+        );
+    }
+}
+
+#[parameterized(
+    small = { 20.0, 7_000 },
+    large = { 80.0, 7_000 },
+    surge_during_the_split = { 80.0, 10_000 },
+)]
+fn data_centres_that_do_not_hear_each_other_keep_one_window(rate: f64, from_ms: u64) {
+    let limit = PaceLimit { rate, burst: rate };
+    let allowed = (rate * 5.0 + rate) * 1.1 + 20.0;
+    let trouble = DayTrouble {
+        split: 9_000..13_500,
+        ..DayTrouble::default()
+    };
+    for seed in 0..20 {
+        let hot = |at| {
+            let times = if at >= from_ms { 9.0 } else { 1.0 };
+            rate / 1.6 * times
+        };
+        let day = play_with(limit, seed, hot, &trouble);
+        let most = most_in_window(&day.admitted);
+        assert!(
+            f64::from(most) <= allowed,
+            "seed {seed}: {most} of {allowed}"
+        );
+    }
+}
