Mark only windows that were counted

Marks of small workspaces also changed by chance, 12 writes in two seconds.

Change: assumed windows are not marked; what chance adds to the use of a small window is left out; windows of 28 requests or fewer are not marked, because the 20 requests that the platform allows beyond a limit cover them.

Ruled out: keeping marks for 8 s (136 refused in the test of usual demand, bound 125).

Conclusion: a mark must rest on counts.

--- a/crates/policy/src/hub_ledger.rs
+++ b/crates/policy/src/hub_ledger.rs
@@ -266,8 +266,11 @@
             let (admitted, refused) = self.pending.remove(workspace).unwrap_or_default();
             if let Some(limit) = limit_of(*workspace) {
                 pace.note(admitted, refused, limit, self.coverage, now);
+                if !WorkspacePace::is_markable(limit) || pace.is_assumed(now) {
+                    continue;
+                }
                 let used = pace.used_part(limit);
-                if limit.rate > 0.0 && (used >= MARK_USE || pace.share() < 1.0) {
+                if used >= MARK_USE {
                     self.marks.note_full(*workspace, now);
                 } else if used >= UNMARK_USE {
                     self.marks.note_still_full(*workspace, now);
--- a/crates/policy/src/window_marks.rs
+++ b/crates/policy/src/window_marks.rs
@@ -16,14 +16,17 @@
 use crate::WindowStart;
 use crate::workspace_pace::WINDOW_MS;
 
-/// Milliseconds for which a workspace stays marked after its window emptied; hubs may differ for a while.
-const KEEP_MS: u64 = 2_000;
+/// Milliseconds for which a workspace stays marked after its window emptied.
+///
+/// Usual demand of a small workspace fills its window by chance now and then; a mark
+/// that stays costs less than writing it again.
+const KEEP_MS: u64 = 4_000;
 
 /// Milliseconds between writes of a mark that does not change.
 const RENEW_MS: u64 = 12_000;
 
 /// Milliseconds between writes of a mark at the least.
-const LEAST_WRITE_MS: u64 = 500;
+const LEAST_WRITE_MS: u64 = 1_000;
 
 /// Share that a host without word of a hub admits of a workspace without a mark.
 ///
--- a/crates/policy/src/workspace_pace.rs
+++ b/crates/policy/src/workspace_pace.rs
@@ -42,6 +42,13 @@
 /// Usual demand uses half of a window or a little more.
 pub(crate) const MARK_USE: f64 = 0.85;
 
+/// Requests of a window too small to be marked: the platform allows 20 beyond each limit,
+/// which is more than a second window of this size gives out.
+const LEAST_MARKED: f64 = 28.0;
+
+/// Standard deviations of a window's use that are put down to chance.
+const CHANCE_DEVIATIONS: f64 = 0.6;
+
 /// Part of a window below which its mark is taken back.
 pub(crate) const UNMARK_USE: f64 = 0.75;
 
@@ -143,15 +150,28 @@
         self.in_window
     }
 
+    /// Whether the window holds admissions that are assumed because nothing was known.
+    pub(crate) fn is_assumed(&self, now: ClockTime) -> bool {
+        now < self.assumed_until
+    }
+
     /// Requests a second that callers ask for.
     pub fn demand_per_s(&self) -> f64 {
         self.demand_per_s
     }
 
-    /// Part of the window of `limit` that is used once the requests under way are in it.
-    pub fn used_part(&self, limit: PaceLimit) -> f64 {
+    /// Whether a restart of all hosts could give out more than the window of `limit`.
+    pub(crate) fn is_markable(limit: PaceLimit) -> bool {
+        limit.rate > 0.0 && window_of(limit) > LEAST_MARKED
+    }
+
+    /// Part of the window of `limit` that is surely used once the requests under way are
+    /// in it; what chance adds to the use of a small window is left out.
+    pub(crate) fn used_part(&self, limit: PaceLimit) -> f64 {
+        let window = window_of(limit).max(1.0);
         let under_way = self.demand_per_s * self.share() * REACTION_MS as f64 / 1_000.0;
-        (f64::from(self.in_window) + under_way) / window_of(limit).max(1.0)
+        let used = f64::from(self.in_window) + under_way - window.sqrt() * CHANCE_DEVIATIONS;
+        used / window
     }
 
     /// Share that brings the window to its limit, once the admissions under way are in it.
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -176,3 +176,17 @@
     hub.take_report(teller(1), None, &used(91), at(6_060));
     assert_eq!(hub.own_totals()[0].admitted, 3);
 }
+
+#[test]
+fn new_hub_marks_no_window_that_it_only_assumes() {
+    let mut hub = HubLedger::default();
+    // The marks were read at the start, longer ago than a window.
+    hub.marks.note_read(ClockTime::from_millis(90_000));
+    hub.take_report(teller(1), None, &used(0), at(0));
+    hub.take_report(teller(1), None, &used(1), at(600));
+    for millis in (600..2_000).step_by(100) {
+        hub.advance(|_| Some(LIMIT), at(millis));
+    }
+    assert!(hub.pace(WORKSPACE).is_some());
+    assert_eq!(hub.marks.due("north", true, at(2_000)), None);
+}
--- a/crates/policy/tests/workspace_limit.rs
+++ b/crates/policy/tests/workspace_limit.rs
@@ -281,6 +281,8 @@
 #[parameterized(
     small = { 10.0, 10.0, 0, 0 },
     large = { 80.0, 80.0, 0, 0 },
+    smallest_marked = { 5.0, 5.0, 0, 0 },
+    too_small_to_be_marked = { 4.0, 4.0, 0, 0 },
     small_after_an_outage = { 10.0, 10.0, 0, 1_000 },
     large_after_an_outage = { 80.0, 80.0, 0, 1_000 },
     surge_just_before = { 80.0, 80.0, 8_000, 1_000 },
