Let hubs give out trials of suspected instances

Traced: hosts try suspected instances at random, 53 of 334 instances got nothing in two seconds, most of them after failures of their own.

Change: the hub of an instance's data centre hands one of its hosts a trial when nothing was heard of a suspected instance for 1.2 s; the host's next idempotent request of the service goes there within a second, if a retry is affordable. Random trials stay.

Ruled out: still more random trials (half of all idempotent requests would meet a suspected instance first).

--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -23,6 +23,9 @@
 /// Rows of one answer; 30 rows of some 100 bytes keep it under 4 KB.
 const MAX_ROWS: usize = 30;
 
+/// Suspected instances that one answer gives to a host to try.
+const MAX_TRIALS: usize = 2;
+
 /// Milliseconds after which a list of instances is out of date; two reads of a hub.
 pub(crate) const STALE_LISTING_MS: u64 = 1_000;
 
@@ -84,6 +87,13 @@
 
 /// Answers a report, as the hub.
 pub(crate) fn new_answer(context: &EdgeContext, report: &HostReport, now: ClockTime) -> HubAnswer {
+    let centre = &context.own.data_centre;
+    let trials = if context.is_hub.get() && report.callers.is_some() {
+        let mut table = context.table.borrow_mut();
+        table.give_trials(centre, MAX_TRIALS, now)
+    } else {
+        Vec::new()
+    };
     let table = context.table.borrow();
     let changed = table.changed_since(report.listing_offset);
     let rows: Vec<WireRow> = changed
@@ -128,6 +138,7 @@
             shares.into_iter().map(in_thousandths).collect()
         }),
         beliefs,
+        trials,
         fleet: (fleet.hash != report.fleet_hash).then(|| fleet.hosts.clone()),
         fleet_hash: fleet.hash,
     }
@@ -182,6 +193,9 @@
         let faulty = f64::from(belief.faulty) / THOUSAND;
         table.take_told(belief.instance, faulty, f64::from(belief.latency_ms), now);
     }
+    for instance in &answer.trials {
+        table.take_trial(*instance, now);
+    }
     drop(table);
     take_loads(context, &answer);
     if let Some(shares) = &answer.shares {
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -73,6 +73,8 @@
     pub(crate) shares: Option<Vec<(u32, u16)>>,
     /// Beliefs about instances.
     pub(crate) beliefs: Vec<WireBelief>,
+    /// Suspected instances that the reporter shall try.
+    pub(crate) trials: Vec<u32>,
     /// Hosts that take callers, if the reporter knows others.
     pub(crate) fleet: Option<Vec<(CompactString, SocketAddr)>>,
     /// Hash of these hosts.
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -186,6 +186,10 @@
         renew_fleet(&self.context, now);
         let answer = new_answer(&self.context, &report, now);
         take_loads(&self.context, &answer);
+        for instance in &answer.trials {
+            let mut table = self.context.table.borrow_mut();
+            table.take_trial(*instance, now);
+        }
         if let Some(shares) = &answer.shares {
             log_limited(&self.context, shares);
             take_shares(&self.context, shares, now);
--- a/crates/policy/src/instance_choice.rs
+++ b/crates/policy/src/instance_choice.rs
@@ -67,8 +67,16 @@
 }
 
 impl InstanceChoice<'_> {
-    /// Draws a suspected instance for a trial, by two random numbers from 0 to 1.
+    /// A suspected instance for a trial: one that the hub gave, or drawn by two random
+    /// numbers from 0 to 1.
     pub(crate) fn draw_trial(&self, draws: (f64, f64)) -> Option<InstanceKey> {
+        let given = self
+            .candidates
+            .iter()
+            .find(|candidate| candidate.state.has_trial(self.now));
+        if let Some(candidate) = given {
+            return Some(candidate.key);
+        }
         let suspects: Vec<InstanceKey> = self
             .candidates
             .iter()
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -19,6 +19,15 @@
 /// Milliseconds that an own failure outweighs what a hub tells, some exchanges.
 const OWN_FAILURE_MS: u64 = 500;
 
+/// Milliseconds without an outcome after which a suspected instance is to be tried.
+///
+/// The platform takes an instance for sound two seconds after a failure of its own, and
+/// asks that it gets a request in the two seconds after that; three trials fit.
+const TRIAL_EVERY_MS: u64 = 1_200;
+
+/// Milliseconds for which a host may use a trial that it was given.
+const TRIAL_HOLDS_MS: u64 = 1_000;
+
 /// Part of a new latency in the smoothed one.
 const LATENCY_GAIN: f64 = 0.08;
 
@@ -43,6 +52,10 @@
     passed_over_until: ClockTime,
     unreached_ms: u64,
     failed_at: Option<ClockTime>,
+    /// When an outcome was last heard of, or a trial given to a host.
+    tried_at: ClockTime,
+    /// Until when this host may try it, once.
+    trial_until: ClockTime,
     left_by_own_word: bool,
     counts: OutcomeCounts,
 }
@@ -67,6 +80,8 @@
             passed_over_until: ClockTime::default(),
             unreached_ms: FIRST_UNREACHED_MS,
             failed_at: None,
+            tried_at: now,
+            trial_until: ClockTime::default(),
             left_by_own_word: false,
             counts: OutcomeCounts::default(),
             listing,
@@ -135,6 +150,7 @@
 
     /// Notes an outcome seen by this host.
     pub(crate) fn observe(&mut self, outcome: AttemptOutcome, latency_ms: u64, now: ClockTime) {
+        self.tried_at = self.tried_at.max(now);
         self.belief.observe(outcome, now);
         match outcome {
             AttemptOutcome::Good => self.counts.good += 1,
@@ -153,6 +169,7 @@
 
     /// Notes outcomes that other hosts saw.
     pub(crate) fn observe_counts(&mut self, counts: &OutcomeCounts, now: ClockTime) {
+        self.tried_at = self.tried_at.max(now);
         let answered = counts.good + counts.late;
         if let Some(mean) = counts.latency_sum_ms.checked_div(answered) {
             for _ in 0..answered {
@@ -172,6 +189,31 @@
         }
     }
 
+    /// Gives out a trial if no outcome was heard of for long, as the hub.
+    pub(crate) fn give_trial(&mut self, now: ClockTime) -> bool {
+        let is_due = now.since(self.tried_at) > TRIAL_EVERY_MS;
+        if is_due {
+            self.tried_at = now;
+        }
+        is_due
+    }
+
+    /// Notes a trial that the hub gave to this host.
+    pub(crate) fn take_trial(&mut self, now: ClockTime) {
+        self.trial_until = now.plus(TRIAL_HOLDS_MS);
+    }
+
+    /// Whether this host shall try it.
+    pub(crate) fn has_trial(&self, now: ClockTime) -> bool {
+        now < self.trial_until
+    }
+
+    /// Notes that a request goes there, which uses a trial up.
+    pub(crate) fn note_sent(&mut self) {
+        self.in_flight += 1;
+        self.trial_until = ClockTime::default();
+    }
+
     /// Takes the counts since the last call.
     pub(crate) fn take_counts(&mut self) -> OutcomeCounts {
         std::mem::take(&mut self.counts)
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -254,10 +254,30 @@
             None
         };
         let chosen = trial.or_else(|| choice.draw_by_cost(draws.1))?;
-        self.instances[chosen].in_flight += 1;
+        self.instances[chosen].note_sent();
         Some(chosen)
     }
 
+    /// Gives a host up to `most` suspected instances of `data_centre` to try, as its hub.
+    ///
+    /// Hosts that try at random leave some instances without a request for seconds.
+    pub fn give_trials(&mut self, data_centre: &str, most: usize, now: ClockTime) -> Vec<u32> {
+        self.instances
+            .values_mut()
+            .filter(|state| state.listing.data_centre == data_centre && state.is_usable(now))
+            .filter(|state| state.faulty(now) >= SUSPECT_BELIEF)
+            .filter_map(|state| state.give_trial(now).then_some(state.hash))
+            .take(most)
+            .collect()
+    }
+
+    /// Takes an instance to try from the hub.
+    pub fn take_trial(&mut self, hash: u32, now: ClockTime) {
+        if let Some(key) = self.find_hash(hash) {
+            self.instances[key].take_trial(now);
+        }
+    }
+
     /// Ends a request in flight without an outcome.
     pub fn release(&mut self, key: InstanceKey) {
         let state = &mut self.instances[key];
--- a/crates/policy/tests/gray_instances.rs
+++ b/crates/policy/tests/gray_instances.rs
@@ -163,6 +163,60 @@
     }
 }
 
+#[test]
+fn hub_sees_to_it_that_each_suspected_instance_is_tried() {
+    // One data centre of a large fleet: 30 hosts with 41 idempotent requests a second,
+    // and 15 suspected of 43 instances. An instance counts as sound two seconds after a
+    // failure of its own, and shall get a request in the two seconds after that.
+    const HOSTS: usize = 30;
+    const NEAR: u64 = 43;
+    const SUSPECTED: usize = 15;
+    const PER_S: u64 = 41;
+    const ANSWER_EVERY_MS: u64 = 60;
+    const SEEDS: u64 = 20;
+    let start = ClockTime::from_millis(BOOT_MS);
+    let mut tried = 0;
+    for seed in 0..SEEDS {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut hub = InstanceTable::default();
+        for index in 0..NEAR {
+            hub.note_listed(index, listing(index), start);
+        }
+        let keys: Vec<InstanceKey> = hub.iter().map(|(key, _)| key).collect();
+        for key in &keys[..SUSPECTED] {
+            hub.observe(*key, AttemptOutcome::Failed, 5, start);
+            hub.observe(*key, AttemptOutcome::Failed, 5, start);
+        }
+        let mut hosts = vec![hub.clone(); HOSTS];
+        let mut was_tried = [false; SUSPECTED];
+        for millis in 1..4_000 {
+            let now = start.plus(millis);
+            let host = rng.random_range(0..HOSTS);
+            if millis % (ANSWER_EVERY_MS / HOSTS as u64) == 0 {
+                for hash in hub.give_trials(CENTRE, 2, now) {
+                    hosts[host].take_trial(hash, now);
+                }
+            }
+            if rng.random::<f64>() >= PER_S as f64 / 1_000.0 {
+                continue;
+            }
+            let draws = (rng.random(), rng.random());
+            let kind = RepeatKind::Idempotent;
+            let host = &mut hosts[rng.random_range(0..HOSTS)];
+            let chosen = host.choose(SERVICE, CENTRE, kind, &[], draws, true, |_| true, now);
+            let key = chosen.expect("instances are listed");
+            if let Some(tried) = was_tried.get_mut(key.as_u32() as usize) {
+                *tried = true;
+                hub.observe(key, AttemptOutcome::Failed, 5, now);
+            }
+            host.release(key);
+        }
+        tried += was_tried.iter().filter(|tried| **tried).count();
+    }
+    let share = tried as f64 / (SUSPECTED as u64 * SEEDS) as f64;
+    assert!(share >= 0.97, "{share:.3} of the suspected instances");
+}
+
 #[test]
 fn an_instance_that_recovered_is_trusted_within_seconds() {
     let now = ClockTime::from_millis(BOOT_MS);
