Add a randomised soak over real host processes

A crate of its own: a seed draws three to nine overlapping troubles (hosts killed, paused, stopped, reloaded, all killed; the store down, slow, losing answers, forgetting, or cut from one host; instances that fail, hang, shed, are slow or answer for another attempt; their links delayed, reset, silent or cut one way; a hot workspace, configurations in a row, a withdrawn key). Callers keep connections until the process is gone. Promises are checked from the ledgers of callers and instances: at most once, truth of refusals, one answer and the right one, keys, limits, retries, planned stops, recovery. It ends only processes that it started, and signals none that has ended.

Cause: no randomised test of ours played faults in series on real processes.

Not covered: jumps of the wall clock, which the fleet uses only to age marks of full windows.

--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,31 @@
+//! Randomised soak of the fleet: real host processes on loopback, faults from
+//! outside them, and the promises checked from the ledgers of both sides.
+//!
+//! A seed draws a plan of overlapping troubles. Store and instances are
+//! stand-ins behind proxies that delay, reset, silence or cut one way. Callers
+//! keep their connections until the process is gone. The soak ends only
+//! processes that it started.
+
+mod call_ledger;
+mod caller_load;
+mod link_proxy;
+mod promise_check;
+mod soak_error;
+mod soak_fleet;
+mod soak_plan;
+mod soak_run;
+
+pub use call_ledger::CallEnd;
+pub use call_ledger::CallLedger;
+pub use call_ledger::CallRecord;
+pub use call_ledger::ExcusedSpan;
+pub use call_ledger::RanRecord;
+pub use promise_check::BrokenPromise;
+pub use promise_check::check_promises;
+pub use soak_error::SoakError;
+pub use soak_plan::PlannedTrouble;
+pub use soak_plan::SoakPlan;
+pub use soak_plan::SoakSize;
+pub use soak_plan::TroubleKind;
+pub use soak_run::SoakVerdict;
+pub use soak_run::run_seed;
