--- a/crates/policy/src/workspace_pace.rs
+++ b/crates/policy/src/workspace_pace.rs
@@ -60,7 +60,7 @@
 
 /// Part of the slack of a limit that is given out; what reports miss of a small workspace
 /// is a few requests.
-const SLACK_GIVEN_OUT: f64 = 0.4;
+const SLACK_GIVEN_OUT: f64 = 0.2;
 
 /// Share of the fleet below which the demand at the rest of it is not told any better.
 const LEAST_COVERAGE: f64 = 0.05;
--- a/crates/policy/tests/workspace_limit.rs
+++ b/crates/policy/tests/workspace_limit.rs
@@ -58,6 +58,7 @@
     TellerId {
         peers: SocketAddr::from(([10, 0, 0, number as u8], 7000)),
         incarnation: 1,
+        is_counted: true,
     }
 }
 
@@ -237,6 +238,10 @@
     large_later = { 53.0, 53.0, 8.0, 9_000 },
     nine_times = { 80.0, 80.0, 9.0, 4_000 },
     without_burst = { 40.0, 0.0, 6.0, 3_000 },
+    small_four_times_from_start = { 20.0, 20.0, 6.0, 0 },
+    small_nine_times = { 20.0, 20.0, 9.0, 4_000 },
+    smaller_nine_times = { 12.0, 12.0, 9.0, 6_000 },
+    small_without_burst_nine_times = { 20.0, 0.0, 9.0, 4_000 },
 )]
 fn hot_workspace_stays_inside_its_window(rate: f64, burst: f64, times: f64, from_ms: u64) {
     let limit = limit_of(rate, burst);
