Let hubs that do not know each other find each other

A host that reads the registrations before others register takes itself for the hub; two hubs of one data centre told each other nothing, so each counted its own reporters. And what a host admitted before its first report to any hub was never counted.

Change: summaries name the hubs that the sender hears, and hubs tell those too. A hub tells one host in turn of its data centre that does not report to it. A report says whether a hub answered since the start; until then all of it counts.

Ruled out: waiting for the second read of the registrations before being a hub (a store that loses answers delays it by seconds).

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -89,6 +89,8 @@
     pub(crate) fleet: RefCell<FleetView>,
     /// Whether this host takes itself for the hub of its data centre.
     pub(crate) is_hub: Cell<bool>,
+    /// Whether a hub counted what this host did.
+    pub(crate) is_counted: Cell<bool>,
     /// Set when the hub answered, but another one shall be chosen.
     pub(crate) hub_doubt: Cell<Option<HubDoubt>>,
     /// Whether the registrations were read; until then no host is taken for a hub and
@@ -137,6 +139,7 @@
             ledger: RefCell::default(),
             fleet: RefCell::default(),
             is_hub: Cell::new(false),
+            is_counted: Cell::new(false),
             hub_doubt: Cell::new(None),
             knows_hosts: Cell::new(false),
             wants_roster: Cell::new(true),
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -48,6 +48,7 @@
     HostReport {
         number,
         incarnation: context.own.incarnation,
+        is_counted: context.is_counted.get(),
         callers: context.takes_callers(now).then_some(context.own.callers),
         listing_offset: table.next_offset(),
         fleet_hash: context.fleet.borrow().hash,
@@ -68,6 +69,7 @@
     let teller = TellerId {
         peers,
         incarnation: report.incarnation,
+        is_counted: report.is_counted,
     };
     let mut ledger = context.ledger.borrow_mut();
     ledger.take_report(teller, report.callers, &uses, now);
@@ -156,6 +158,7 @@
     asked_at: ClockTime,
     now: ClockTime,
 ) {
+    context.is_counted.set(true);
     let own_version = context.config_version();
     if answer.config_version == own_version
         && let Some(age) = answer.evidence_age
@@ -264,11 +267,13 @@
     now: ClockTime,
 ) -> HubSummary {
     let ledger = context.ledger.borrow();
+    let heard_hubs = ledger.heard_hubs(now).into_iter().map(|(peers, _)| peers);
     HubSummary {
         incarnation: context.own.incarnation,
         data_centre: context.own.data_centre.clone(),
         hosts: with_hosts.then(|| ledger.own_hosts(now)),
         uses: ledger.own_totals().iter().map(Into::into).collect(),
+        heard_hubs: heard_hubs.collect(),
         outcomes: outcomes.iter().map(Into::into).collect(),
         reporters: ledger.reporter_count(now),
         in_flight: ledger.own_load(now).into_iter().collect(),
@@ -286,10 +291,12 @@
     let teller = TellerId {
         peers,
         incarnation: summary.incarnation,
+        is_counted: true,
     };
     let mut ledger = context.ledger.borrow_mut();
     ledger.take_summary(teller, &summary.data_centre, summary.hosts, &uses, now);
     ledger.take_hub_load(peers, summary.reporters, summary.in_flight);
+    ledger.take_named_hubs(&summary.heard_hubs, now);
     let mut table = context.table.borrow_mut();
     for wire in &summary.outcomes {
         let (instance, counts): (u32, OutcomeCounts) = wire.into();
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -36,6 +36,8 @@
     pub(crate) number: u32,
     /// Start of the host.
     pub(crate) incarnation: u64,
+    /// Whether a hub answered it since, and so counted what it did.
+    pub(crate) is_counted: bool,
     /// Where callers connect, unless the host takes none.
     pub(crate) callers: Option<SocketAddr>,
     /// Offset up to which it knows the list of instances.
@@ -92,6 +94,8 @@
     pub(crate) hosts: Option<Vec<SocketAddr>>,
     /// Counters of workspaces.
     pub(crate) uses: Vec<WireUse>,
+    /// Other hubs that it hears; the receiver may not know them.
+    pub(crate) heard_hubs: Vec<SocketAddr>,
     /// Outcomes since the last summary.
     pub(crate) outcomes: Vec<WireOutcomes>,
     /// Hosts that report to the hub.
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -182,6 +182,7 @@
         let own = self.context.own.peers;
         let report = new_report(&self.context, 0, now);
         take_report(&self.context, own, &report, now);
+        self.context.is_counted.set(true);
         self.tell_hubs(round, now).await;
         renew_fleet(&self.context, now);
         let answer = new_answer(&self.context, &report, now);
@@ -220,13 +221,13 @@
         }
     }
 
-    /// Hubs that were heard lately, the own one, and an early host in turn of each centre without one.
+    /// Hubs that were heard or named lately, the own one, and an early host in turn of each centre without one.
     fn other_hubs(&self, round: u32, now: ClockTime) -> Vec<SocketAddr> {
         const CANDIDATES: usize = 4;
         let roster = self.context.roster.borrow();
         let heard = self.context.ledger.borrow().heard_hubs(now);
         let own = &self.context.own;
-        let mut hubs: Vec<SocketAddr> = heard.iter().map(|(peers, _)| *peers).collect();
+        let mut hubs = self.context.ledger.borrow().hubs_to_tell(now);
         hubs.extend(self.reports.borrow().hub);
         for centre in roster.data_centres() {
             if centre == own.data_centre || heard.iter().any(|(_, known)| *known == centre) {
@@ -236,12 +237,29 @@
             let index = round as usize % cards.len().max(1);
             hubs.extend(cards.get(index).map(|card| card.peers));
         }
+        if self.context.is_hub.get() {
+            hubs.extend(self.unheard_host(round, now));
+        }
         hubs.sort_unstable();
         hubs.dedup();
         hubs.retain(|hub| *hub != own.peers);
         hubs
     }
 
+    /// One in turn of the hosts of this data centre that do not report here; it may take
+    /// itself for the hub, because it registered first, and know no other host.
+    fn unheard_host(&self, round: u32, now: ClockTime) -> Option<SocketAddr> {
+        let roster = self.context.roster.borrow();
+        let ledger = self.context.ledger.borrow();
+        let unheard: Vec<SocketAddr> = roster
+            .in_centre(&self.context.own.data_centre)
+            .map(|card| card.peers)
+            .filter(|peers| !ledger.hears_host(*peers, now))
+            .collect();
+        let index = round as usize % unheard.len().max(1);
+        unheard.get(index).copied()
+    }
+
     async fn take(&self, peer: SocketAddr, message: PeerMessage) {
         let now = ClockTime::now();
         self.context.roster.borrow_mut().clear_suspicion(peer);
--- a/crates/policy/src/hub_ledger.rs
+++ b/crates/policy/src/hub_ledger.rs
@@ -70,6 +70,7 @@
 pub struct HubLedger {
     hosts: HashMap<SocketAddr, ToldCounters>,
     hubs: HashMap<SocketAddr, ToldCounters>,
+    named_hubs: HashMap<SocketAddr, ClockTime>,
     own_totals: HashMap<u32, (u32, u32)>,
     pending: HashMap<u32, (u32, u32)>,
     paces: HashMap<u32, WorkspacePace>,
@@ -88,6 +89,7 @@
         HubLedger {
             hosts: HashMap::new(),
             hubs: HashMap::new(),
+            named_hubs: HashMap::new(),
             own_totals: HashMap::new(),
             pending: HashMap::new(),
             paces: HashMap::new(),
@@ -168,6 +170,12 @@
         heard.count() as u32
     }
 
+    /// Whether the host at `peers` reports here.
+    pub fn hears_host(&self, peers: SocketAddr, now: ClockTime) -> bool {
+        let told = self.hosts.get(&peers);
+        told.is_some_and(|told| now.since(told.heard_at) <= HOST_SILENT_MS)
+    }
+
     fn is_young(&self, now: ClockTime) -> bool {
         let young_ms = if self.marks.is_read(now) {
             YOUNG_MARKED_MS
@@ -365,11 +373,32 @@
             .collect()
     }
 
+    /// Takes the hubs that another hub hears.
+    ///
+    /// Hosts that differ about the hub of their data centre may not know each other.
+    pub fn take_named_hubs(&mut self, hubs: &[SocketAddr], now: ClockTime) {
+        self.named_hubs.extend(hubs.iter().map(|hub| (*hub, now)));
+    }
+
+    /// Hubs that were heard or named lately.
+    pub fn hubs_to_tell(&self, now: ClockTime) -> Vec<SocketAddr> {
+        let heard = self
+            .hubs
+            .iter()
+            .map(|(peers, told)| (*peers, told.heard_at));
+        let named = self.named_hubs.iter().map(|(peers, at)| (*peers, *at));
+        let recent = heard
+            .chain(named)
+            .filter(|(_, at)| now.since(*at) <= HUB_SILENT_MS);
+        recent.map(|(peers, _)| peers).collect()
+    }
+
     /// Forgets what was not heard for `millis` milliseconds.
     pub fn forget_silent(&mut self, millis: u64, now: ClockTime) {
         let is_recent = |told: &ToldCounters| now.since(told.heard_at) <= millis;
         self.hosts.retain(|_, told| is_recent(told));
         self.hubs.retain(|_, told| is_recent(told));
+        self.named_hubs.retain(|_, at| now.since(*at) <= millis);
     }
 }
 
--- a/crates/policy/src/told_counters.rs
+++ b/crates/policy/src/told_counters.rs
@@ -18,6 +18,8 @@
     pub peers: SocketAddr,
     /// Number that tells its starts apart.
     pub incarnation: u64,
+    /// Whether another hub may have counted what it did before.
+    pub is_counted: bool,
 }
 
 /// Counters as a teller last told them.
@@ -39,7 +41,8 @@
     pub(crate) reporters: u32,
 }
 
-/// Entry of `teller`; one that is new here, or comes back, starts at what it tells now.
+/// Entry of `teller`; one that is new here, or comes back, starts at what it tells now,
+/// unless nobody counted that yet.
 ///
 /// A teller that was silent for `silent_ms` told another hub meanwhile.
 pub(crate) fn told_by<'a>(
@@ -51,6 +54,7 @@
 ) -> &'a mut ToldCounters {
     let baseline = || {
         uses.iter()
+            .filter(|_| teller.is_counted)
             .map(|used| (used.workspace, (used.admitted, used.refused)))
             .collect()
     };
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -25,6 +25,7 @@
     TellerId {
         peers: SocketAddr::from(([10, 0, 0, number], 7000)),
         incarnation: 1,
+        is_counted: true,
     }
 }
 
@@ -67,6 +68,31 @@
     assert_eq!(first.own_totals()[0].admitted, 4);
 }
 
+#[test]
+fn hubs_of_one_data_centre_learn_of_each_other() {
+    // Hosts that read the registrations at different times may follow two hubs.
+    let mut hub = HubLedger::default();
+    let other = teller(3).peers;
+    hub.take_summary(teller(2), "south", None, &used(0), at(0));
+    hub.take_named_hubs(&[other], at(0));
+    let mut told = hub.hubs_to_tell(at(100));
+    told.sort_unstable();
+    assert_eq!(told, [teller(2).peers, other]);
+    assert!(hub.hubs_to_tell(at(2_100)).is_empty());
+}
+
+#[test]
+fn what_a_host_did_before_its_first_report_is_counted() {
+    let mut hub = HubLedger::default();
+    let fresh = TellerId {
+        is_counted: false,
+        ..teller(1)
+    };
+    hub.take_report(fresh, None, &used(4), at(0));
+    hub.take_report(teller(1), None, &used(5), at(60));
+    assert_eq!(hub.own_totals()[0].admitted, 5);
+}
+
 #[test]
 fn counter_of_a_host_that_restarted_starts_anew() {
     let mut hub = HubLedger::default();
@@ -86,6 +112,8 @@
     hub.take_report(teller(1), Some(callers), &[], at(0));
     assert_eq!(hub.own_hosts(at(1_000)), [callers]);
     assert!(hub.own_hosts(at(1_200)).is_empty());
+    assert!(hub.hears_host(teller(1).peers, at(1_000)));
+    assert!(!hub.hears_host(teller(1).peers, at(1_200)));
 }
 
 #[test]
