Answer no reports without the registrations and a configuration

A host that the store resets after a restart knows neither hosts nor limits, but answered the reports of others; its shares were given out beside the other hub's, and it told no hub. Ruled out: answering without shares (its reporters keep to their parts of the limit for as long as it lasts).

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -93,8 +93,8 @@
     pub(crate) is_counted: Cell<bool>,
     /// Set when the hub answered, but another one shall be chosen.
     pub(crate) hub_doubt: Cell<Option<HubDoubt>>,
-    /// Whether the registrations were read; until then no host is taken for a hub and
-    /// this host's part of a limit is not known.
+    /// Whether the registrations were read; until then this host's part of a limit is
+    /// not known.
     pub(crate) knows_hosts: Cell<bool>,
     /// Raised when the registrations shall be read again.
     pub(crate) wants_roster: Cell<bool>,
@@ -198,6 +198,11 @@
         is_in_touch && can_serve && !self.stopping.get()
     }
 
+    /// Whether this host knows the other hosts and the limits.
+    pub(crate) fn can_be_hub(&self) -> bool {
+        self.knows_hosts.get() && self.config.borrow().is_some()
+    }
+
     /// Number of hosts that share the fleet's limits.
     pub(crate) fn fleet_size(&self) -> usize {
         let told = self.fleet.borrow().hosts.len();
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -122,7 +122,7 @@
 
     /// Hub of this data centre, after a silent one is passed over.
     fn hub(&self, now: ClockTime) -> Option<SocketAddr> {
-        if !self.context.knows_hosts.get() {
+        if !self.context.can_be_hub() {
             return None;
         }
         let mut roster = self.context.roster.borrow_mut();
@@ -264,6 +264,9 @@
         let now = ClockTime::now();
         self.context.roster.borrow_mut().clear_suspicion(peer);
         match message {
+            // Without hosts or limits it could only give out what other hubs give out too;
+            // the reporter passes a silent hub over.
+            PeerMessage::Report(_) if !self.context.can_be_hub() => {}
             PeerMessage::Report(report) => {
                 take_report(&self.context, peer, &report, now);
                 let answer = new_answer(&self.context, &report, now);
