Add crocushoist explain: the logs of all hosts about one request

Cause: a complaint names one request; its cause stands in the logs of several hosts, in no common order. Change: a command that shows, in order, the request's lines, failures of others at its instances, and in the 8 s before what its hosts said of instances, limits, store, configuration and hub. Hosts to ask are now demanded only by commands that ask one. Ruled out: a merge of whole logs (a restart alone writes 40 lines a host).

--- a/crates/tool/src/edit_command.rs
+++ b/crates/tool/src/edit_command.rs
@@ -120,7 +120,10 @@
         ToolCommand::RemoveRoute { prefix } => WireChange::RemoveRoute {
             prefix: prefix.into(),
         },
-        ToolCommand::Status | ToolCommand::List { .. } | ToolCommand::Ended { .. } => {
+        ToolCommand::Status
+        | ToolCommand::Explain { .. }
+        | ToolCommand::List { .. }
+        | ToolCommand::Ended { .. } => {
             unreachable!("not an edit")
         }
     };
--- a/crates/tool/src/tool_arguments.rs
+++ b/crates/tool/src/tool_arguments.rs
@@ -1,6 +1,7 @@
 //! Arguments of the operators' tool.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use clap::Args;
 use clap::Parser;
@@ -15,12 +16,7 @@
 #[command(name = "crocushoist", version)]
 pub struct ToolArguments {
     /// Admin addresses of hosts to ask, in this order.
-    #[arg(
-        long = "host",
-        env = "CROCUSHOIST_HOSTS",
-        value_delimiter = ',',
-        required = true
-    )]
+    #[arg(long = "host", env = "CROCUSHOIST_HOSTS", value_delimiter = ',')]
     pub hosts: Vec<SocketAddr>,
     /// Prints JSON.
     #[arg(long, global = true)]
@@ -41,6 +37,14 @@
 pub enum ToolCommand {
     /// Shows hosts, shards, refusals, exceptions and instances.
     Status,
+    /// Puts what the logs of several hosts tell about one request in order.
+    Explain {
+        /// Id of the request, as its caller sent it.
+        request: String,
+        /// Log files of the hosts.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Lists objects of the configuration.
     List {
         /// Kind of object.
--- a/crates/tool/src/tool_error.rs
+++ b/crates/tool/src/tool_error.rs
@@ -16,6 +16,17 @@
         /// Cause.
         cause: String,
     },
+    /// no host to ask; name one with --host or CROCUSHOIST_HOSTS
+    NoHost,
+    /// log {path} cannot be read: {error}
+    LogFile {
+        /// Path given.
+        path: String,
+        /// Cause.
+        error: std::io::Error,
+    },
+    /// no log line names the request {0}; a plain success is logged once in 64
+    UnknownRequest(String),
     /// {0}
     Config(ConfigError),
     /// {error}{near}
@@ -38,7 +49,11 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             ToolError::Runtime(_) | ToolError::Unreachable { .. } => 1,
-            ToolError::Config(_) | ToolError::UnknownName { .. } => 2,
+            ToolError::Config(_)
+            | ToolError::UnknownName { .. }
+            | ToolError::NoHost
+            | ToolError::LogFile { .. }
+            | ToolError::UnknownRequest(_) => 2,
             ToolError::Refused(_) => 3,
             ToolError::Unconfirmed(_) => 4,
         }
--- /dev/null
+++ b/crates/tool/tests/explain.rs
@@ -0,0 +1,46 @@
+//! The lines of several hosts about one request, in order.
+
+use crocushoist::explain_request;
+
+/// Lines of three hosts, out of order, one with what a collector put before it.
+const LOGS: &str = r#"
+{"msg":"request ended","ts":"2026-02-25T11:19:42.3Z","host":"h-1","request":"r-1","outcome":"instance_failed","status":502,"workspace":"depot","attempts":"i-7 broken_off 1ms faulty=5% load=1"}
+   2.07 h-2 {"msg":"instance joined","ts":"2026-02-25T11:19:41.25Z","host":"h-2","instance":"i-7","offset":4}
+{"msg":"instance joined","ts":"2026-02-25T11:19:41.249Z","host":"h-2","instance":"i-8","offset":5}
+{"msg":"request ended","ts":"2026-02-25T11:19:42.29999Z","host":"h-3","request":"r-2","outcome":"instance_failed","attempts":"i-7 broken_off 1ms faulty=4% load=2"}
+{"msg":"request ended","ts":"2026-02-25T11:19:42.1Z","host":"h-3","request":"r-3","outcome":"answered","attempts":"i-7 answered 20ms faulty=4% load=2"}
+{"msg":"workspace limit","ts":"2026-02-25T11:19:40Z","host":"h-2","workspace":"depot","limited":true}
+{"msg":"workspace limit","ts":"2026-02-25T11:19:40Z","host":"h-2","workspace":"other","limited":true}
+{"msg":"store lost","ts":"2026-02-25T11:19:39Z","host":"h-1","cause":"refused"}
+{"msg":"store lost","ts":"2026-02-25T11:19:39Z","host":"h-3","cause":"refused"}
+{"msg":"hub chosen","ts":"2026-02-25T11:18:00Z","host":"h-1","hub":"h-2"}
+{"msg":"store lost","ts":"2026-02-25T11:19:43Z","host":"h-1","cause":"later"}
+not a line of a log
+"#;
+
+#[test]
+fn lines_of_all_hosts_stand_in_order() {
+    let told = explain_request("r-1", LOGS).unwrap();
+    let lines: Vec<&str> = told.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "2026-02-25T11:19:39.000Z h-1 store lost cause=\"refused\"",
+            "2026-02-25T11:19:40.000Z h-2 workspace limit limited=\"true\" workspace=\"depot\"",
+            "2026-02-25T11:19:41.250Z h-2 instance joined instance=\"i-7\" offset=\"4\"",
+            "2026-02-25T11:19:42.299Z h-3 request ended attempts=\"i-7 broken_off 1ms faulty=4% load=2\" \
+             outcome=\"instance_failed\" request=\"r-2\"",
+            "2026-02-25T11:19:42.300Z h-1 request ended attempts=\"i-7 broken_off 1ms faulty=5% load=1\" \
+             outcome=\"instance_failed\" request=\"r-1\" status=\"502\" workspace=\"depot\"",
+        ]
+    );
+}
+
+#[test]
+fn request_that_no_line_names_is_an_error_that_says_why() {
+    let error = explain_request("r-9", LOGS).unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "no log line names the request r-9; a plain success is logged once in 64"
+    );
+}
