--- a/crates/policy/src/hub_ledger.rs
+++ b/crates/policy/src/hub_ledger.rs
@@ -15,7 +15,6 @@
 //! out only the part of each limit that the hosts it hears stand for.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
@@ -29,6 +28,8 @@
 use crate::WindowStart;
 use crate::WorkspacePace;
 use crate::WorkspaceUse;
+use crate::fleet_coverage::FleetCoverage;
+use crate::fleet_coverage::UNHEARD_MS;
 use crate::told_counters::ToldCounters;
 use crate::told_counters::growth;
 use crate::told_counters::told_by;
@@ -55,9 +56,6 @@
 /// The same for a hub that read the marks, which need no word of other hubs; three reports.
 const YOUNG_MARKED_MS: u64 = 180;
 
-/// Milliseconds for which a host that is not heard may still admit keyed requests.
-const UNHEARD_MS: u64 = 5_000;
-
 /// Admitted share below which a workspace is near its limit by its demand, not by chance.
 const THINNED_SHARE: f64 = 0.7;
 
@@ -66,7 +64,7 @@
 const WHOLE_COVERAGE: f64 = 0.9;
 
 /// What the hub of a data centre adds up.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct HubLedger {
     hosts: HashMap<SocketAddr, ToldCounters>,
     hubs: HashMap<SocketAddr, ToldCounters>,
@@ -77,33 +75,12 @@
     outcomes: HashMap<u32, OutcomeCounts>,
     advanced_at: ClockTime,
     first_report_at: Option<ClockTime>,
-    heard_counts: VecDeque<(ClockTime, u32)>,
-    coverage: f64,
+    coverage: FleetCoverage,
     other_windows: HashMap<u32, u32>,
     /// Marks of the windows that are nearly full.
     pub marks: WindowMarks,
 }
 
-impl Default for HubLedger {
-    fn default() -> Self {
-        HubLedger {
-            hosts: HashMap::new(),
-            hubs: HashMap::new(),
-            named_hubs: HashMap::new(),
-            own_totals: HashMap::new(),
-            pending: HashMap::new(),
-            paces: HashMap::new(),
-            outcomes: HashMap::new(),
-            advanced_at: ClockTime::default(),
-            first_report_at: None,
-            heard_counts: VecDeque::new(),
-            coverage: 1.0,
-            other_windows: HashMap::new(),
-            marks: WindowMarks::default(),
-        }
-    }
-}
-
 impl HubLedger {
     /// Takes the report of a host of this data centre; `callers` is `None` unless it takes callers.
     pub fn take_report(
@@ -203,21 +180,12 @@
             .map(|told| told.reporters)
             .sum();
         let heard = self.reporter_count(now) + of_hubs;
-        self.heard_counts.push_back((now, heard));
-        while now.since(self.heard_counts[0].0) > UNHEARD_MS {
-            self.heard_counts.pop_front();
-        }
-        let may_miss_hosts = self
-            .first_report_at
-            .is_none_or(|at| now.since(at) <= UNHEARD_MS);
-        let counts = self.heard_counts.iter().map(|(_, count)| *count);
-        let most = counts.max().unwrap_or(1);
-        let live = if may_miss_hosts {
-            most.max(registered as u32)
+        let least = if self.heard_whole_window(now) {
+            0
         } else {
-            most
+            registered as u32
         };
-        self.coverage = (f64::from(heard) / f64::from(live.max(1))).min(1.0);
+        self.coverage.note(heard, least, now);
     }
 
     /// Requests in flight from this data centre, by instance.
@@ -280,12 +248,13 @@
         for (workspace, pace) in &mut self.paces {
             let (admitted, refused) = self.pending.remove(workspace).unwrap_or_default();
             if let Some(limit) = limit_of(*workspace) {
-                pace.note(admitted, refused, limit, self.coverage, now);
+                pace.note(admitted, refused, limit, self.coverage.share(), now);
                 if !WorkspacePace::is_markable(limit) || pace.is_assumed(now) {
                     continue;
                 }
                 let used = pace.used_part(limit);
-                let is_thinned = pace.share() < THINNED_SHARE && self.coverage >= WHOLE_COVERAGE;
+                let is_thinned =
+                    pace.share() < THINNED_SHARE && self.coverage.share() >= WHOLE_COVERAGE;
                 if used >= MARK_USE || is_thinned {
                     self.marks.note_full(*workspace, now);
                 } else if used >= UNMARK_USE {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission_rank;
 mod config_evidence;
 mod deployment_config;
+mod fleet_coverage;
 mod host_roster;
 mod hub_ledger;
 mod instance_belief;
