--- a/crates/state/src/fleet_config.rs
+++ b/crates/state/src/fleet_config.rs
@@ -13,70 +13,23 @@
 
 use compact_str::CompactString;
 use cranelift_entity::PrimaryMap;
-use cranelift_entity::entity_impl;
 
 use crate::ConfigChange;
 use crate::ConfigError;
+use crate::ExceptionEntry;
 use crate::ExceptionScope;
 use crate::KeyDigest;
 use crate::RouteEntry;
 use crate::RouteTable;
+use crate::ServiceEntry;
+use crate::ServiceId;
 use crate::SettingName;
+use crate::WorkspaceEntry;
+use crate::WorkspaceId;
+use crate::WorkspaceLimit;
 
 const MAX_NAME_LENGTH: usize = 64;
 
-/// Workspace of the configuration.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct WorkspaceId(u32);
-entity_impl!(WorkspaceId, "workspace");
-
-/// Service of the configuration.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ServiceId(u32);
-entity_impl!(ServiceId, "service");
-
-/// One workspace.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkspaceEntry {
-    /// Name of the workspace.
-    pub name: CompactString,
-    /// Offset of the record that last changed it, plus one.
-    pub revision: u64,
-}
-
-/// One service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServiceEntry {
-    /// Name of the service.
-    pub name: CompactString,
-    /// Whether its shed answer means that the request did not run.
-    pub shed_is_not_run: bool,
-    /// Offset of the record that last changed it, plus one.
-    pub revision: u64,
-}
-
-/// One exception from the defaults.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ExceptionEntry {
-    /// Value in place of the default.
-    pub value: u32,
-    /// Why it stands.
-    pub reason: CompactString,
-    /// Who set it.
-    pub author: CompactString,
-    /// Offset of the record that last changed it, plus one.
-    pub revision: u64,
-}
-
-/// Rate and burst of a workspace.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WorkspaceLimit {
-    /// Requests a second.
-    pub rate: u32,
-    /// Requests at once.
-    pub burst: u32,
-}
-
 /// The folded configuration.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FleetConfig {
