--- a/crates/edge/src/attempt_run.rs
+++ b/crates/edge/src/attempt_run.rs
@@ -19,7 +19,6 @@
 use hyper::header::CONTENT_ENCODING;
 
 use crocushoist_platform::names;
-use crocushoist_policy::AttemptOutcome;
 use crocushoist_transport::AttemptFailure;
 use crocushoist_transport::ForwardBody;
 use crocushoist_transport::UpstreamConnection;
@@ -143,7 +142,7 @@
             arrived: false,
         },
         Ok(Err(AttemptFailure::MaybeWritten(_))) => {
-            hold.note_failed(AttemptOutcome::Failed);
+            hold.note_failed();
             context.upstreams.forget(address);
             AttemptEnd::MayHaveRun {
                 reason: "broken_off",
@@ -179,14 +178,14 @@
         };
     }
     if !is_own {
-        hold.note_failed(AttemptOutcome::Failed);
+        hold.note_failed();
         return AttemptEnd::MayHaveRun { reason: "crossed" };
     }
     let limited = Limited::new(body, MAX_ANSWER_BYTES);
     let body = match timeout_at(input.deadline, limited.collect()).await {
         Err(_) => return AttemptEnd::OutOfTime,
         Ok(Err(_)) => {
-            hold.note_failed(AttemptOutcome::Failed);
+            hold.note_failed();
             return AttemptEnd::MayHaveRun {
                 reason: "cut_short",
             };
@@ -199,11 +198,11 @@
         body,
     };
     if !is_sound(&answer) {
-        hold.note_failed(AttemptOutcome::Failed);
+        hold.note_failed();
         return AttemptEnd::MayHaveRun { reason: "spoiled" };
     }
     if answer.is_failure() {
-        hold.note_failed(AttemptOutcome::Failed);
+        hold.note_failed();
     } else {
         hold.note_answered();
     }
--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -160,20 +160,12 @@
             .metrics
             .evidence_age_ms
             .set(age.map_or(-1, |age| age as i64));
-        let usable = usable_instances(&context, now);
+        let usable = context.table.borrow().usable(now).count();
         context.metrics.usable_instances.set(usable as i64);
         sleep(Duration::from_millis(SWEEP_EVERY_MS)).await;
     }
 }
 
-fn usable_instances(context: &EdgeContext, now: ClockTime) -> usize {
-    let table = context.table.borrow();
-    table
-        .iter()
-        .filter(|(_, state)| state.is_usable(now))
-        .count()
-}
-
 /// Checks the settings file again on each signal; what differs takes effect at the next start.
 async fn reload_on_signal(context: SharedEdge, path: String) {
     loop {
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -111,9 +111,8 @@
     let load = context.ledger.borrow().whole_load(now);
     let own_load: HashMap<u32, u32> = report.in_flight.iter().copied().collect();
     let beliefs = table
-        .iter()
-        .filter(|(_, state)| state.is_usable(now))
-        .map(|(_, state)| WireBelief {
+        .usable(now)
+        .map(|state| WireBelief {
             instance: state.hash,
             faulty: (state.faulty(now) * THOUSAND) as u16,
             latency_ms: state.latency_ms() as u16,
@@ -196,14 +195,8 @@
         let faulty = f64::from(belief.faulty) / THOUSAND;
         table.take_told(belief.instance, faulty, f64::from(belief.latency_ms), now);
     }
-    for instance in &answer.trials {
-        table.take_trial(*instance, now);
-    }
     drop(table);
-    take_loads(context, &answer);
-    if let Some(shares) = &answer.shares {
-        take_shares(context, shares, now);
-    }
+    take_guidance(context, &answer, now);
     let mut fleet = context.fleet.borrow_mut();
     if let Some(hosts) = answer.fleet {
         fleet.hosts = hosts;
@@ -211,8 +204,10 @@
     }
 }
 
-/// Takes the requests in flight from all hosts.
-pub(crate) fn take_loads(context: &EdgeContext, answer: &HubAnswer) {
+/// Takes what an answer tells of loads, trials and shares, as a host or as the hub itself.
+///
+/// Workspaces that the shares do not name are admitted whole.
+pub(crate) fn take_guidance(context: &EdgeContext, answer: &HubAnswer, now: ClockTime) {
     let mut table = context.table.borrow_mut();
     for belief in &answer.beliefs {
         table.take_load(
@@ -221,10 +216,12 @@
             u32::from(belief.own_load),
         );
     }
-}
-
-/// Takes the shares that a hub told; workspaces that are not named are admitted whole.
-pub(crate) fn take_shares(context: &EdgeContext, shares: &[(u32, u16)], now: ClockTime) {
+    for instance in &answer.trials {
+        table.take_trial(*instance, now);
+    }
+    let Some(shares) = &answer.shares else {
+        return;
+    };
     let mut told = context.shares.borrow_mut();
     told.told_at = Some(now);
     told.below_one = shares
--- a/crates/edge/src/instance_hold.rs
+++ b/crates/edge/src/instance_hold.rs
@@ -53,8 +53,8 @@
     }
 
     /// Notes a failure of the instance.
-    pub(crate) fn note_failed(&mut self, outcome: AttemptOutcome) {
-        self.observe(outcome);
+    pub(crate) fn note_failed(&self) {
+        self.observe(AttemptOutcome::Failed);
     }
 
     /// Notes that this host cannot reach the instance.
--- a/crates/edge/src/listing_reader.rs
+++ b/crates/edge/src/listing_reader.rs
@@ -59,7 +59,8 @@
         let read = if is_whole {
             read_on(&context, &mut client, lapse_until_now).await
         } else {
-            read_whole(&context, &mut client, lapse_until_now).await
+            let whole = read_whole(&context, &mut client, lapse_until_now).await;
+            whole.map(|()| true)
         };
         match read {
             Ok(whole) => {
@@ -98,7 +99,7 @@
     context: &EdgeContext,
     client: &mut StoreClient,
     lapse_until: Option<ClockTime>,
-) -> Result<bool, PlatformError> {
+) -> Result<(), PlatformError> {
     let newest = client.newest(StoreTopic::Instances).await?;
     let now = ClockTime::now();
     for record in &newest.records {
@@ -119,7 +120,7 @@
         info!(context.logger, "instance left"; "instance" => id.as_str(),
             "cause" => "absent from the whole list", "offset" => newest.end);
     }
-    Ok(true)
+    Ok(())
 }
 
 /// Reads on; whether no record was dropped.
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -22,9 +22,8 @@
 use crate::hub_exchange::new_summary;
 use crate::hub_exchange::renew_fleet;
 use crate::hub_exchange::take_answer;
-use crate::hub_exchange::take_loads;
+use crate::hub_exchange::take_guidance;
 use crate::hub_exchange::take_report;
-use crate::hub_exchange::take_shares;
 use crate::hub_exchange::take_summary;
 use crate::peer_message::PeerMessage;
 
@@ -186,15 +185,10 @@
         self.tell_hubs(round, now).await;
         renew_fleet(&self.context, now);
         let answer = new_answer(&self.context, &report, now);
-        take_loads(&self.context, &answer);
-        for instance in &answer.trials {
-            let mut table = self.context.table.borrow_mut();
-            table.take_trial(*instance, now);
-        }
         if let Some(shares) = &answer.shares {
             log_limited(&self.context, shares);
-            take_shares(&self.context, shares, now);
         }
+        take_guidance(&self.context, &answer, now);
     }
 
     /// Tells other hubs what the hosts that report here did.
--- a/crates/policy/src/instance_choice.rs
+++ b/crates/policy/src/instance_choice.rs
@@ -66,10 +66,34 @@
     pub(crate) now: ClockTime,
 }
 
+/// The candidates that are not passed over for a moment, or all if there are none.
+pub(crate) fn prefer_rested(
+    candidates: Vec<InstanceCandidate<'_>>,
+    now: ClockTime,
+) -> Vec<InstanceCandidate<'_>> {
+    let is_rested = |candidate: &&InstanceCandidate<'_>| candidate.state.is_rested(now);
+    let rested: Vec<_> = candidates.iter().filter(is_rested).copied().collect();
+    if rested.is_empty() {
+        candidates
+    } else {
+        rested
+    }
+}
+
 impl InstanceChoice<'_> {
+    /// Draws an instance by two random numbers from 0 to 1; `may_try` allows a trial.
+    pub(crate) fn draw(&self, draws: (f64, f64), may_try: bool) -> Option<InstanceKey> {
+        let trial = if may_try && self.kind == RepeatKind::Idempotent {
+            self.draw_trial(draws)
+        } else {
+            None
+        };
+        trial.or_else(|| self.draw_by_cost(draws.1))
+    }
+
     /// A suspected instance for a trial: one that the hub gave, or drawn by two random
     /// numbers from 0 to 1.
-    pub(crate) fn draw_trial(&self, draws: (f64, f64)) -> Option<InstanceKey> {
+    fn draw_trial(&self, draws: (f64, f64)) -> Option<InstanceKey> {
         let given = self
             .candidates
             .iter()
@@ -92,7 +116,7 @@
     }
 
     /// Draws an instance by its expected cost, by a random number from 0 to 1.
-    pub(crate) fn draw_by_cost(&self, draw: f64) -> Option<InstanceKey> {
+    fn draw_by_cost(&self, draw: f64) -> Option<InstanceKey> {
         let costs: Vec<f64> = self.candidates.iter().map(|one| self.cost(one)).collect();
         let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
         let weights: Vec<f64> = costs
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -5,16 +5,15 @@
 //! passed over. No instance is ever shut out by belief alone: while every
 //! instance looks faulty, the least suspicious ones still serve.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
 use cranelift_entity::PrimaryMap;
-use cranelift_entity::entity_impl;
 
 use crocushoist_state::ClockTime;
 
 use crate::AttemptOutcome;
+use crate::InstanceKey;
 use crate::InstanceListing;
 use crate::InstanceState;
 use crate::ListingChange;
@@ -24,6 +23,8 @@
 use crate::instance_choice::InstanceCandidate;
 use crate::instance_choice::InstanceChoice;
 use crate::instance_choice::SUSPECT_BELIEF;
+use crate::instance_choice::prefer_rested;
+use crate::instance_index::InstanceIndex;
 
 /// Latency that is assumed before any answer, in milliseconds.
 const INITIAL_LATENCY_MS: f64 = 250.0;
@@ -31,18 +32,11 @@
 /// Mean latencies after which an answer speaks against an instance.
 const SLOW_LATENCIES: f64 = 2.5;
 
-/// Instance of a service.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct InstanceKey(u32);
-entity_impl!(InstanceKey, "instance");
-
 /// Instances of every service.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTable {
     instances: PrimaryMap<InstanceKey, InstanceState>,
-    by_id: HashMap<CompactString, InstanceKey>,
-    by_hash: HashMap<u32, InstanceKey>,
-    by_service: HashMap<CompactString, Vec<InstanceKey>>,
+    index: InstanceIndex,
     next_offset: u64,
 }
 
@@ -69,7 +63,7 @@
 
     /// Instance whose id has `hash`.
     pub fn find_hash(&self, hash: u32) -> Option<InstanceKey> {
-        self.by_hash.get(&hash).copied()
+        self.index.find_hash(hash)
     }
 
     /// Takes an entry that stands at `offset` of the list.
@@ -79,7 +73,7 @@
         listing: InstanceListing,
         now: ClockTime,
     ) -> ListingChange {
-        let Some(key) = self.by_id.get(&listing.id).copied() else {
+        let Some(key) = self.index.find_id(&listing.id) else {
             self.insert(offset, listing, now);
             return ListingChange::Joined;
         };
@@ -116,7 +110,7 @@
         lapse_until: Option<ClockTime>,
         now: ClockTime,
     ) -> ListingChange {
-        let Some(key) = self.by_id.get(id).copied() else {
+        let Some(key) = self.index.find_id(id) else {
             return ListingChange::Nothing;
         };
         let state = &mut self.instances[key];
@@ -166,7 +160,7 @@
     ) -> ListingChange {
         let id = listing.id.clone();
         let mut change = self.note_listed(offset, listing, now);
-        let Some(key) = self.by_id.get(&id).copied() else {
+        let Some(key) = self.index.find_id(&id) else {
             return change;
         };
         let state = &mut self.instances[key];
@@ -225,35 +219,22 @@
         is_connected: impl Fn(SocketAddr) -> bool,
         now: ClockTime,
     ) -> Option<InstanceKey> {
-        let members = self.by_service.get(service)?;
-        let usable: Vec<InstanceCandidate<'_>> = members
-            .iter()
-            .map(|key| (*key, &self.instances[*key]))
-            .filter(|(key, state)| !tried.contains(key) && state.is_usable(now))
+        let candidates = self
+            .usable_members(service, now)
+            .filter(|(key, _)| !tried.contains(key))
             .map(|(key, state)| InstanceCandidate {
                 key,
                 state,
                 is_connected: is_connected(state.listing.address),
-            })
-            .collect();
-        let rested: Vec<InstanceCandidate<'_>> = usable
-            .iter()
-            .copied()
-            .filter(|candidate| candidate.state.is_rested(now))
-            .collect();
+            });
         let choice = InstanceChoice {
-            candidates: if rested.is_empty() { usable } else { rested },
+            candidates: prefer_rested(candidates.collect(), now),
             data_centre,
             kind,
             mean_latency_ms: self.mean_latency_ms(service, now),
             now,
         };
-        let trial = if may_try && kind == RepeatKind::Idempotent {
-            choice.draw_trial(draws)
-        } else {
-            None
-        };
-        let chosen = trial.or_else(|| choice.draw_by_cost(draws.1))?;
+        let chosen = choice.draw(draws, may_try)?;
         self.instances[chosen].note_sent();
         Some(chosen)
     }
@@ -346,13 +327,9 @@
 
     /// Requests waiting per slot at the least loaded sound instance of `service`, if any is sound.
     pub fn least_queue(&self, service: &str, now: ClockTime) -> Option<f64> {
-        let members = self.by_service.get(service)?;
-        members
-            .iter()
-            .map(|key| &self.instances[*key])
-            .filter(|state| state.is_usable(now) && state.is_rested(now))
-            .filter(|state| state.faulty(now) < SUSPECT_BELIEF)
-            .map(InstanceState::queue)
+        self.usable_members(service, now)
+            .filter(|(_, state)| state.is_rested(now) && state.faulty(now) < SUSPECT_BELIEF)
+            .map(|(_, state)| state.queue())
             .reduce(f64::min)
     }
 
@@ -365,14 +342,9 @@
 
     /// Mean of the smoothed latencies of the usable instances of `service` in milliseconds.
     pub fn mean_latency_ms(&self, service: &str, now: ClockTime) -> f64 {
-        let Some(members) = self.by_service.get(service) else {
-            return INITIAL_LATENCY_MS;
-        };
-        let (sum, count) = members
-            .iter()
-            .map(|key| &self.instances[*key])
-            .filter(|state| state.is_usable(now))
-            .fold((0.0, 0u32), |(sum, count), state| {
+        let (sum, count) = self
+            .usable_members(service, now)
+            .fold((0.0, 0u32), |(sum, count), (_, state)| {
                 (sum + state.latency_ms(), count + 1)
             });
         if count == 0 {
@@ -383,23 +355,33 @@
 
     /// Number of usable instances of `service`.
     pub fn usable_count(&self, service: &str, now: ClockTime) -> usize {
-        self.by_service.get(service).map_or(0, |members| {
-            let usable = members
-                .iter()
-                .filter(|key| self.instances[**key].is_usable(now));
-            usable.count()
-        })
+        self.usable_members(service, now).count()
+    }
+
+    /// Instances of every service that take requests.
+    pub fn usable(&self, now: ClockTime) -> impl Iterator<Item = &InstanceState> {
+        self.instances
+            .values()
+            .filter(move |state| state.is_usable(now))
+    }
+
+    /// Instances of `service` that take requests.
+    fn usable_members(
+        &self,
+        service: &str,
+        now: ClockTime,
+    ) -> impl Iterator<Item = (InstanceKey, &InstanceState)> {
+        let members = self.index.members(service);
+        members
+            .map(|key| (key, &self.instances[key]))
+            .filter(move |(_, state)| state.is_usable(now))
     }
 
     fn insert(&mut self, offset: u64, listing: InstanceListing, now: ClockTime) {
         let latency_ms = self.mean_latency_ms(&listing.service, now);
-        let (id, service) = (listing.id.clone(), listing.service.clone());
         let state = InstanceState::new(offset, listing, latency_ms, now);
-        let hash = state.hash;
         let key = self.instances.push(state);
-        self.by_hash.insert(hash, key);
-        self.by_id.insert(id, key);
-        self.by_service.entry(service).or_default().push(key);
+        self.index.insert(key, &self.instances[key]);
     }
 
     /// Ends the membership of an earlier start of an instance.
@@ -407,8 +389,6 @@
         let state = &mut self.instances[key];
         state.presence = Presence::Gone;
         state.changed_at = 0;
-        if let Some(members) = self.by_service.get_mut(&state.listing.service) {
-            members.retain(|member| *member != key);
-        }
+        self.index.remove_member(key, &state.listing.service);
     }
 }
--- a/crates/policy/src/window_marks.rs
+++ b/crates/policy/src/window_marks.rs
@@ -80,9 +80,10 @@
 
     /// Workspaces that the marks name.
     pub fn marked(&self, now: ClockTime) -> MarkedWorkspaces {
-        let all = self.told.values().flatten().copied();
-        all.filter(|workspace| self.start_of(*workspace, now) == WindowStart::NearlyFull)
-            .collect()
+        if !self.is_read(now) {
+            return MarkedWorkspaces::new();
+        }
+        self.told.values().flatten().copied().collect()
     }
 
     /// Share that a host admits of `workspace` before a hub told any; `None` if the marks do not say.
--- a/crates/policy/src/workspace_pace.rs
+++ b/crates/policy/src/workspace_pace.rs
@@ -74,8 +74,9 @@
     admitted: VecDeque<(ClockTime, u32)>,
     in_window: u32,
     demand_per_s: f64,
-    assumed_until: ClockTime,
-    marked_until: ClockTime,
+    start: WindowStart,
+    /// When nothing of the window at the start is left in it.
+    renewed_at: ClockTime,
     shares: VecDeque<(ClockTime, f64)>,
     at: ClockTime,
 }
@@ -102,15 +103,8 @@
             admitted,
             in_window: whole,
             demand_per_s: 0.0,
-            // An earlier hub may have given an unknown window out; usual demand is still admitted.
-            assumed_until: match start {
-                WindowStart::Unknown => now.plus(WINDOW_MS),
-                _ => now,
-            },
-            marked_until: match start {
-                WindowStart::NearlyFull => now.plus(WINDOW_MS),
-                _ => now,
-            },
+            start,
+            renewed_at: now.plus(WINDOW_MS),
             shares: VecDeque::from([(now, 1.0)]),
             at: now,
         }
@@ -161,7 +155,12 @@
 
     /// Whether the window holds admissions that are assumed because nothing was known.
     pub(crate) fn is_assumed(&self, now: ClockTime) -> bool {
-        now < self.assumed_until
+        self.started_as(WindowStart::Unknown, now)
+    }
+
+    /// Whether the window still holds what was taken for its use at the start, by `start`.
+    fn started_as(&self, start: WindowStart, now: ClockTime) -> bool {
+        self.start == start && now < self.renewed_at
     }
 
     /// Requests a second that callers ask for.
@@ -186,7 +185,7 @@
     /// Share that brings the window to its limit, once the admissions under way are in it.
     fn next_share(&self, limit: PaceLimit, coverage: f64) -> f64 {
         // What a marked window really held is not known; the slack is left for that.
-        let slack = if self.at < self.marked_until {
+        let slack = if self.started_as(WindowStart::NearlyFull, self.at) {
             0.0
         } else {
             limit.slack * SLACK_GIVEN_OUT
@@ -208,7 +207,8 @@
                 (room + leaving) * 1_000.0 / *ahead as f64
             })
             .fold(f64::INFINITY, f64::min);
-        let payable = if self.at < self.assumed_until {
+        // An earlier hub may have given an unknown window out; usual demand is still admitted.
+        let payable = if self.is_assumed(self.at) {
             payable.max(limit.rate * USUAL_DEMAND)
         } else {
             payable
