Keep the platform's names of the soak in the stand-in

The soak wrote the operators' configuration, headers, paths and topics by itself, a second time beside the stand-in's own tests, and outside the folder that holds the platform's names. The stand-in now writes configurations and entries, sends a caller's request and asks for addresses for both. The store forgets the history of every topic in the test of lost power, the hosts' topic included; nothing else changes. Tests of both crates pass.

--- a/crates/soak/src/caller_load.rs
+++ b/crates/soak/src/caller_load.rs
@@ -5,24 +5,26 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compio::time::sleep;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
 
-use crocushoist_transport::HttpAnswer;
+use crocushoist_platform_standin::CallerRequest;
+use crocushoist_platform_standin::ask_addresses;
 use crocushoist_transport::HttpClient;
 use crocushoist_transport::TransportError;
 
 use crate::CallEnd;
 use crate::CallRecord;
 use crate::promise_check::LIMITED;
+use crate::soak_fleet::CENTRES;
+use crate::soak_fleet::DEADLINE_MS;
 use crate::soak_fleet::HOST_NAME;
 use crate::soak_fleet::SoakFleet;
+use crate::soak_fleet::WITHDRAWN;
 
-/// Milliseconds that a caller waits; the routes end a request after 1500.
+/// Milliseconds after which a caller takes a call for cut; the routes end a request earlier.
 const CALL_MS: u64 = 2_300;
 
 /// Milliseconds that a caller waits for addresses.
@@ -39,7 +41,7 @@
 const BOOKING_EVERY: u64 = 2;
 
 /// Workspaces in the order of the callers.
-const WORKSPACES: [&str; 3] = ["depot", LIMITED, "installer"];
+const WORKSPACES: [&str; 3] = ["depot", LIMITED, WITHDRAWN];
 
 /// Key of `workspace`.
 pub(crate) fn key_of(workspace: &str) -> String {
@@ -59,7 +61,8 @@
     while !fleet.is_over.get() {
         if addresses.is_empty() || fleet.now_ms() > resolved_ms + kept_ms {
             let host = rng.random_range(0..fleet.size.hosts);
-            let told = resolve(fleet.directory(host)).await;
+            let directory = fleet.directory(host);
+            let told = ask_addresses(directory, HOST_NAME, CENTRES[0], RESOLVE_MS).await;
             if !told.is_empty() {
                 addresses = told;
                 resolved_ms = fleet.now_ms();
@@ -108,49 +111,21 @@
     workspace: &str,
     is_booking: bool,
 ) -> CallEnd {
-    let token = format!("Token {}", key_of(workspace));
-    let headers = [
-        ("host", HOST_NAME),
-        ("attempt-id", attempt),
-        ("deadline-ms", "1500"),
-        ("authorization", token.as_str()),
-    ];
-    let (method, path) = if is_booking {
-        ("POST", "/book/1")
-    } else {
-        ("GET", "/read/1")
+    let key = key_of(workspace);
+    let request = CallerRequest {
+        host_name: HOST_NAME,
+        path: if is_booking { "/book/1" } else { "/read/1" },
+        attempt,
+        key: &key,
+        deadline_ms: DEADLINE_MS,
+        body: attempt.as_bytes(),
     };
-    let body = Bytes::copy_from_slice(attempt.as_bytes());
-    match client.call(method, path, &headers, body).await {
+    match request.send(client).await {
         Ok(answer) => CallEnd::Answered {
             status: answer.status.as_u16(),
-            is_intact: is_intact(&answer, attempt),
+            is_intact: request.is_intact(&answer),
         },
         Err(TransportError::Connect { .. }) => CallEnd::NotConnected,
         Err(_) => CallEnd::Cut,
     }
 }
-
-/// Whether the answer is no success, or the instance's own for this attempt.
-fn is_intact(answer: &HttpAnswer, attempt: &str) -> bool {
-    let echoed = answer.headers.get("attempt-id");
-    let names_attempt = echoed.is_some_and(|echoed| echoed.as_bytes() == attempt.as_bytes());
-    let is_signed = answer.headers.contains_key("response-signature");
-    !answer.status.is_success()
-        || (names_attempt && is_signed && &answer.body[..] == attempt.as_bytes())
-}
-
-/// Addresses that the host at `directory` tells.
-async fn resolve(directory: SocketAddr) -> Vec<SocketAddr> {
-    let mut client = HttpClient::new(None, directory, RESOLVE_MS);
-    let path = "/v1/resolve?Name=ledger.example&Region=r&Zone=north";
-    let Ok(answer) = client.call("GET", path, &[], Bytes::new()).await else {
-        return Vec::new();
-    };
-    let Ok(body) = serde_json::from_slice::<Value>(&answer.body) else {
-        return Vec::new();
-    };
-    let listed = body["Addresses"].as_array().cloned().unwrap_or_default();
-    let parse = |address: &Value| address.as_str()?.parse().ok();
-    listed.iter().filter_map(parse).collect()
-}
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -9,15 +9,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use compio::time::sleep;
-use serde_json::json;
 
 use crocushoist_platform_standin::HostAddresses;
 use crocushoist_platform_standin::HostProcess;
 use crocushoist_platform_standin::InstanceStandin;
+use crocushoist_platform_standin::StandinConfig;
+use crocushoist_platform_standin::StandinWorkspace;
 use crocushoist_platform_standin::StoreStandin;
-use crocushoist_transport::HttpClient;
+use crocushoist_platform_standin::is_ready;
+use crocushoist_transport::TransportError;
 
 use crate::CallLedger;
 use crate::ExcusedSpan;
@@ -33,11 +34,17 @@
 /// Host name that callers send.
 pub(crate) const HOST_NAME: &str = "ledger.example";
 
-const CENTRES: [&str; 2] = ["north", "south"];
+/// Milliseconds that a caller waits, and after which the routes end a request.
+pub(crate) const DEADLINE_MS: u64 = 1_500;
+
+/// Workspace whose key may be withdrawn.
+pub(crate) const WITHDRAWN: &str = "installer";
+
+const SERVICE: &str = "ledger";
+pub(crate) const CENTRES: [&str; 2] = ["north", "south"];
 const INSTANCE_PORT: u16 = 9_000;
 const STORE_PORT: u16 = 9_100;
 const WORK_MS: u64 = 20;
-const BEAT_MS: u64 = 500;
 const READY_MS: u64 = 15_000;
 const LOOK_EVERY_MS: u64 = 100;
 
@@ -92,13 +99,13 @@
             spawn_served(Rc::clone(&instance).serve());
             let link = LinkProxy::new(instance.listed_address, instance.address);
             spawn_served(Rc::clone(&link).serve());
-            compio::runtime::spawn(beat(Rc::clone(&instance), Rc::clone(&store))).detach();
+            compio::runtime::spawn(Rc::clone(&instance).beat(Rc::clone(&store))).detach();
             instances.push(instance);
             instance_links.push(link);
         }
         let mut store_links = Vec::new();
         let mut hosts = Vec::new();
-        write_config(&store, FIRST_VERSION, true);
+        store.write_config(&new_config(FIRST_VERSION, true));
         for index in 0..size.hosts {
             let near = SocketAddr::from(([127, net, 3, index as u8 + 1], STORE_PORT));
             let link = LinkProxy::new(near, store_address);
@@ -153,7 +160,8 @@
     /// Writes the next version; the key of one workspace is in it while `with_all_keys`.
     pub(crate) fn write_next_version(&self, with_all_keys: bool) {
         self.version.set(self.version.get() + VERSION_STEP);
-        write_config(&self.store, self.version.get(), with_all_keys);
+        let config = new_config(self.version.get(), with_all_keys);
+        self.store.write_config(&config);
     }
 
     /// Notes that a host may leave requests without an answer from `from_ms` until now.
@@ -215,9 +223,7 @@
             let mut ready = 0;
             for host in &self.hosts {
                 let address = host.process.borrow().addresses.ready();
-                let mut client = HttpClient::new(None, address, LOOK_EVERY_MS * 3);
-                let answer = client.call("GET", "/v1/ready", &[], Bytes::new()).await;
-                ready += usize::from(answer.is_ok_and(|answer| answer.status.is_success()));
+                ready += usize::from(is_ready(address, LOOK_EVERY_MS * 3).await);
             }
             if ready == self.hosts.len() {
                 return Ok(());
@@ -232,55 +238,39 @@
 
 fn new_instance(net: u8, index: usize) -> Rc<InstanceStandin> {
     let last = index as u8 + 1;
+    let address = SocketAddr::from(([127, net, 2, last], INSTANCE_PORT));
+    let centre = CENTRES[index % CENTRES.len()];
     Rc::new(InstanceStandin {
-        id: format!("i-{index}"),
-        service: "ledger".into(),
-        address: SocketAddr::from(([127, net, 2, last], INSTANCE_PORT)),
         listed_address: SocketAddr::from(([127, net, 4, last], INSTANCE_PORT)),
-        data_centre: CENTRES[index % CENTRES.len()].into(),
-        work_ms: WORK_MS,
-        fault: Cell::default(),
-        ran: RefCell::default(),
+        ..InstanceStandin::new(format!("i-{index}"), SERVICE, address, centre, WORK_MS)
     })
 }
 
-async fn beat(instance: Rc<InstanceStandin>, store: Rc<StoreStandin>) {
-    for seq in 1.. {
-        let entry = instance.entry(seq, "ready");
-        store.write("keyed.servers", &instance.id, Some(&entry));
-        sleep(Duration::from_millis(BEAT_MS)).await;
-    }
-}
-
-fn write_config(store: &StoreStandin, version: u64, with_all_keys: bool) {
-    let workspace = |name: &str, rate: f64, burst: f64| json!({ "Name": name, "ApiKeys": [key_of(name)], "RatePerS": rate, "Burst": burst });
+/// Configuration of `version`; the key of one workspace is in it while `with_all_keys`.
+fn new_config(version: u64, with_all_keys: bool) -> StandinConfig {
+    let workspace = |name, rate, burst| StandinWorkspace {
+        name,
+        keys: vec![key_of(name)],
+        rate,
+        burst,
+    };
     let mut workspaces = vec![
         workspace("depot", 0.0, 0.0),
         workspace(LIMITED, LIMIT_PER_S, LIMIT_BURST),
     ];
     if with_all_keys {
-        workspaces.push(workspace("installer", 0.0, 0.0));
+        workspaces.push(workspace(WITHDRAWN, 0.0, 0.0));
+    }
+    StandinConfig {
+        version,
+        host_name: HOST_NAME,
+        service: SERVICE,
+        timeout_ms: DEADLINE_MS,
+        workspaces,
     }
-    let route = |name: &str, kind: &str| {
-        json!({ "Name": name, "Host": HOST_NAME, "PathPrefix": format!("/{name}/"), "Kind": kind,
-                "TimeoutMs": 1500, "TargetLatencyMs": 500, "Priority": 1, "Service": "ledger",
-                "MaxAttempts": 2, "Public": false })
-    };
-    let config = json!({
-        "Version": version, "BaseVersion": version - 1,
-        "Routes": [route("read", "safe"), route("book", "unsafe")],
-        "Services": [{ "Name": "ledger", "HealthPath": "/health", "MaxConns": 1000,
-                       "Protocol": "h1", "Tls": false }],
-        "Limits": { "MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576,
-                    "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000 },
-        "Tenants": workspaces,
-    });
-    store.write("keyed.op", "config", Some(&config.to_string()));
 }
 
-fn spawn_served(
-    serving: impl Future<Output = Result<(), crocushoist_transport::TransportError>> + 'static,
-) {
+fn spawn_served(serving: impl Future<Output = Result<(), TransportError>> + 'static) {
     let task = async move {
         if let Err(error) = serving.await {
             eprintln!("stand-in ended: {error}");
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -22,6 +22,7 @@
 use crate::promise_check::LIMITED;
 use crate::promise_check::RECOVERY_MS;
 use crate::soak_fleet::SoakFleet;
+use crate::soak_fleet::WITHDRAWN;
 
 /// Milliseconds that a host which was asked to stop may take; its grace is 6 s.
 const STOP_MS: u64 = 7_000;
@@ -168,9 +169,7 @@
             fleet.store.set_loses_answers(false);
         }
         TroubleKind::StoreForgets => {
-            for topic in ["keyed.op", "keyed.servers", "keyed.hosts"] {
-                fleet.store.forget_history(topic);
-            }
+            fleet.store.forget_history();
         }
         TroubleKind::InstanceLink(instance, way) => {
             let link = &fleet.instance_links[instance];
@@ -200,7 +199,7 @@
             fleet.write_next_version(false);
             let now_ms = fleet.now_ms();
             let mut ledger = fleet.ledger.borrow_mut();
-            ledger.withdrawn.get_or_insert(("installer", now_ms));
+            ledger.withdrawn.get_or_insert((WITHDRAWN, now_ms));
         }
     }
     Ok(())
