Part the model of a fleet from the tests of limits

workspace_limit.rs (416 lines) held the model and three subjects: limits, restarts, fleets whose parts do not hear each other. Each has a file in one test program; the check of windows that stood in it three times is one function, and the marks are kept by data centre as in the fleet. The instances that two tests of the choice set up alike come from one place.

--- a/crates/policy/tests/full_instances.rs
+++ b/crates/policy/tests/full_instances.rs
@@ -1,49 +1,32 @@
 //! More demand than sound instances can serve in time, spread by many hosts
 //! that know each other's requests only as of their last exchange.
 
-use std::net::SocketAddr;
+mod service_fixture;
 
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crocushoist_policy::InstanceListing;
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::RepeatKind;
 use crocushoist_state::ClockTime;
 
+use crate::service_fixture::BOOT_MS;
+use crate::service_fixture::CENTRE;
+use crate::service_fixture::SERVICE;
+use crate::service_fixture::SLOTS;
+use crate::service_fixture::new_table;
+
 const HOSTS: usize = 40;
 const INSTANCES: usize = 6;
-const SLOTS: u32 = 3;
 const WORK_MS: u64 = 200;
 const EXCHANGE_MS: u64 = 60;
-const SERVICE: &str = "ledger";
-const CENTRE: &str = "north";
-
-fn new_table(now: ClockTime) -> InstanceTable {
-    let mut table = InstanceTable::default();
-    for index in 0..INSTANCES {
-        let listing = InstanceListing {
-            id: format!("i-{index}").into(),
-            born: 1,
-            seq: 1,
-            service: SERVICE.into(),
-            address: SocketAddr::from(([10, 0, 0, index as u8], 80)),
-            data_centre: CENTRE.into(),
-            slots: SLOTS,
-            leaving: false,
-            warm_up_ms: 0,
-        };
-        table.note_listed(index as u64, listing, now);
-    }
-    table
-}
 
 /// Largest number of requests in flight at one instance while hosts exchange loads.
 fn largest_load(seed: u64, per_s: u64, seconds: u64) -> usize {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut now = ClockTime::from_millis(100_000);
-    let mut tables = vec![new_table(now); HOSTS];
+    let mut now = ClockTime::from_millis(BOOT_MS);
+    let mut tables = vec![new_table(INSTANCES as u64, now); HOSTS];
     // Requests in flight: host, instance, end.
     let mut flying: Vec<(usize, usize, ClockTime)> = Vec::new();
     let end = now.plus(seconds * 1_000);
@@ -108,8 +91,8 @@
 
 #[test]
 fn queue_of_the_least_loaded_instance_is_known() {
-    let now = ClockTime::from_millis(100_000);
-    let mut table = new_table(now);
+    let now = ClockTime::from_millis(BOOT_MS);
+    let mut table = new_table(INSTANCES as u64, now);
     assert_eq!(table.least_queue(SERVICE, now), Some(0.0));
     let hashes: Vec<u32> = table.iter().map(|(_, state)| state.hash).collect();
     for hash in hashes {
--- a/crates/policy/tests/gray_instances.rs
+++ b/crates/policy/tests/gray_instances.rs
@@ -2,7 +2,7 @@
 //! two to six requests a second each, of which up to a third fail most requests
 //! for several seconds while the others fail one in eighty.
 
-use std::net::SocketAddr;
+mod service_fixture;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -12,41 +12,19 @@
 use crocushoist_policy::AttemptOutcome;
 use crocushoist_policy::InstanceBelief;
 use crocushoist_policy::InstanceKey;
-use crocushoist_policy::InstanceListing;
-use crocushoist_policy::InstanceTable;
 use crocushoist_policy::RepeatKind;
 use crocushoist_state::ClockTime;
 
+use crate::service_fixture::BOOT_MS;
+use crate::service_fixture::CENTRE;
+use crate::service_fixture::SERVICE;
+use crate::service_fixture::new_table;
+
 const INSTANCES: u64 = 18;
 const FAULTY: u64 = 5;
 const FAULT_FAILS: f64 = 0.75;
 const SOUND_FAILS: f64 = 0.012;
 const LATENCY_MS: u64 = 200;
-const BOOT_MS: u64 = 100_000;
-const SERVICE: &str = "ledger";
-const CENTRE: &str = "north";
-
-fn listing(index: u64) -> InstanceListing {
-    InstanceListing {
-        id: format!("i-{index}").into(),
-        born: 1,
-        seq: 1,
-        service: SERVICE.into(),
-        address: SocketAddr::from(([10, 0, 0, index as u8], 80)),
-        data_centre: CENTRE.into(),
-        slots: 3,
-        leaving: false,
-        warm_up_ms: 0,
-    }
-}
-
-fn new_table(now: ClockTime) -> InstanceTable {
-    let mut table = InstanceTable::default();
-    for index in 0..INSTANCES {
-        table.note_listed(index, listing(index), now);
-    }
-    table
-}
 
 /// Requests to faulty instances, to all, and the instances that got none in the last two seconds.
 struct PlayedFault {
@@ -59,7 +37,7 @@
 fn play(seed: u64, per_s: u64, seconds: u64) -> PlayedFault {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let start = ClockTime::from_millis(BOOT_MS);
-    let mut table = new_table(start);
+    let mut table = new_table(INSTANCES, start);
     let mut last_at = vec![start; INSTANCES as usize];
     let mut played = PlayedFault {
         to_faulty: 0,
@@ -132,10 +110,7 @@
     let start = ClockTime::from_millis(BOOT_MS);
     for seed in 0..20 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut table = InstanceTable::default();
-        for index in 0..LARGE {
-            table.note_listed(index, listing(index), start);
-        }
+        let mut table = new_table(LARGE, start);
         let keys: Vec<InstanceKey> = table.iter().map(|(key, _)| key).collect();
         for key in &keys[..SUSPECTED as usize] {
             table.observe(*key, AttemptOutcome::Failed, 5, start);
@@ -178,10 +153,7 @@
     let mut tried = 0;
     for seed in 0..SEEDS {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut hub = InstanceTable::default();
-        for index in 0..NEAR {
-            hub.note_listed(index, listing(index), start);
-        }
+        let mut hub = new_table(NEAR, start);
         let keys: Vec<InstanceKey> = hub.iter().map(|(key, _)| key).collect();
         for key in &keys[..SUSPECTED] {
             hub.observe(*key, AttemptOutcome::Failed, 5, start);
--- /dev/null
+++ b/crates/policy/tests/service_fixture/mod.rs
@@ -0,0 +1,34 @@
+//! Instances of one service, as the tests of the choice use them.
+
+use std::net::SocketAddr;
+
+use crocushoist_policy::InstanceListing;
+use crocushoist_policy::InstanceTable;
+use crocushoist_state::ClockTime;
+
+pub(crate) const SERVICE: &str = "ledger";
+pub(crate) const CENTRE: &str = "north";
+pub(crate) const SLOTS: u32 = 3;
+
+/// Boot clock at the start of a test.
+pub(crate) const BOOT_MS: u64 = 100_000;
+
+/// Table of `count` instances that just joined.
+pub(crate) fn new_table(count: u64, now: ClockTime) -> InstanceTable {
+    let mut table = InstanceTable::default();
+    for index in 0..count {
+        let listing = InstanceListing {
+            id: format!("i-{index}").into(),
+            born: 1,
+            seq: 1,
+            service: SERVICE.into(),
+            address: SocketAddr::from(([10, 0, 0, index as u8], 80)),
+            data_centre: CENTRE.into(),
+            slots: SLOTS,
+            leaving: false,
+            warm_up_ms: 0,
+        };
+        table.note_listed(index, listing, now);
+    }
+    table
+}
--- /dev/null
+++ b/crates/policy/tests/workspace_limit/main.rs
@@ -0,0 +1,80 @@
+//! A workspace at many times its limit, thinned through reports that come late.
+//!
+//! The fleet is played without a network: each host reports to the hub of its
+//! data centre every 60 ms and is told a share in return, and hubs exchange
+//! sums half as often. The bound is the platform's: in any window of five
+//! seconds at most (rate x 5 + burst) x 1.1 + 20.
+
+mod fleet_model;
+mod fleet_parted;
+mod fleet_restart;
+
+use yare::parameterized;
+
+use crate::fleet_model::DAY_MS;
+use crate::fleet_model::STEP_MS;
+use crate::fleet_model::WINDOW_MS;
+use crate::fleet_model::assert_one_window;
+use crate::fleet_model::limit_of;
+use crate::fleet_model::play;
+
+/// Hosts run for a while before callers come.
+const START_MS: u64 = 1_000;
+
+#[parameterized(
+    small_from_start = { 10.0, 10.0, 8.0, 0 },
+    large_from_start = { 53.0, 53.0, 8.0, 0 },
+    large_later = { 53.0, 53.0, 8.0, 9_000 },
+    nine_times = { 80.0, 80.0, 9.0, 4_000 },
+    without_burst = { 40.0, 0.0, 6.0, 3_000 },
+    small_four_times_from_start = { 20.0, 20.0, 6.0, 0 },
+    small_nine_times = { 20.0, 20.0, 9.0, 4_000 },
+    smaller_nine_times = { 12.0, 12.0, 9.0, 6_000 },
+    small_without_burst_nine_times = { 20.0, 0.0, 9.0, 4_000 },
+)]
+fn hot_workspace_stays_inside_its_window(rate: f64, burst: f64, times: f64, from_ms: u64) {
+    let limit = limit_of(rate, burst);
+    let usual = rate / 1.6;
+    let demand = |at| if at >= from_ms { usual * times } else { usual };
+    assert_one_window(limit, |seed| play(limit, seed, demand));
+}
+
+#[parameterized(
+    small_somewhat_over = { 10.0, 10.0, 15.0 },
+    small_hot = { 10.0, 10.0, 60.0 },
+    middle_hot = { 40.0, 40.0, 200.0 },
+    large_somewhat_over = { 80.0, 80.0, 120.0 },
+    large_hot = { 80.0, 80.0, 450.0 },
+    without_burst = { 40.0, 0.0, 60.0 },
+)]
+fn workspace_beyond_its_limit_gets_most_of_it(rate: f64, burst: f64, demand: f64) {
+    const SEEDS: u64 = 10;
+    let limit = limit_of(rate, burst);
+    let total: u32 = (0..SEEDS)
+        .map(|seed| {
+            let day = play(limit, seed, |_| demand);
+            // What was given out in the window before the start is not known.
+            let known = &day.admitted[(WINDOW_MS / STEP_MS) as usize..];
+            known.iter().sum::<u32>()
+        })
+        .sum();
+    let seconds = (DAY_MS - WINDOW_MS) as f64 / 1_000.0;
+    let owed = (rate * 5.0 + burst) / 5.0 * seconds * SEEDS as f64;
+    let share = f64::from(total) / owed;
+    assert!(share >= 0.9, "{share:.3} of the limit");
+}
+
+#[test]
+fn usual_demand_is_never_refused() {
+    let limit = limit_of(40.0, 40.0);
+    for seed in 0..20 {
+        let day = play(
+            limit,
+            seed,
+            |at_ms| {
+                if at_ms < START_MS { 0.0 } else { 25.0 }
+            },
+        );
+        assert_eq!(day.refused, 0, "seed {seed}");
+    }
+}
