Part the model of agreement by what its files do

agreement.rs (692 lines) held messages, schedules, delivery and checks; each has a file in one test program. Same schedules, seeds and assertions; passes.

--- a/crates/daemon/tests/agreement.rs
+++ b/crates/daemon/tests/agreement/fleet_model.rs
@@ -1,13 +1,4 @@
-//! Random schedules of messages, deaths, pauses and outages against the real decisions.
-//!
-//! Messages are delayed, reordered and dropped at will; the log goes out and
-//! comes back; hosts end and start again. After each step the model checks:
-//!
-//! - a host whose evidence is younger than a record's acceptance has folded it;
-//! - no two hosts can spend from one shard at the same time;
-//! - hosts that folded the same records hold the same fold;
-//!
-//! and at the end that no window of spent tokens exceeds the limit.
+//! Hosts, log and messages of one run, and the steps of a schedule.
 
 use std::net::SocketAddr;
 
@@ -15,20 +6,11 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crocushoist_coordination::EditId;
-use crocushoist_coordination::EditRecord;
 use crocushoist_coordination::FleetRecord;
 use crocushoist_coordination::ShardClaim;
-use crocushoist_coordination::timing;
-use crocushoist_protocol::DrawAnswer;
-use crocushoist_protocol::DrawRequest;
-use crocushoist_protocol::PullAnswer;
-use crocushoist_protocol::PullRequest;
 use crocushoist_protocol::encode_record;
 use crocushoist_state::ClockTime;
 use crocushoist_state::ConfigChange;
-use crocushoist_state::ExceptionScope;
-use crocushoist_state::GrantId;
 use crocushoist_state::HostAddress;
 use crocushoist_state::IncarnationId;
 use crocushoist_state::OfferId;
@@ -36,89 +18,44 @@
 use crocushoist_state::SettingName;
 use crocushoist_state::ShardHolder;
 use crocushoist_state::ShardId;
-use crocushoist_state::breach;
 use crocushoistd::host_state::HostState;
 
-const HOSTS: usize = 5;
-const SHARDS: u32 = 6;
-const STEPS: usize = 4_000;
-const RUNS: u64 = 300;
-const RATE: u32 = 400;
-const BURST: u32 = 40;
-const MAX_MESSAGES: usize = 120;
-const WORKSPACE: &str = "depot";
-
-/// Message between hosts, or between a host and the log.
-enum Message {
-    Append {
-        host: usize,
-        record: FleetRecord,
-    },
-    ReadAnswer {
-        host: usize,
-        first: u64,
-        tail: u64,
-        asked_at: ClockTime,
-        records: Vec<Vec<u8>>,
-    },
-    PullAsk {
-        from: usize,
-        to: usize,
-        asked_at: ClockTime,
-        request: PullRequest,
-    },
-    PullTold {
-        from: usize,
-        asked_from: u64,
-        asked_at: ClockTime,
-        answer: Box<PullAnswer>,
-    },
-    DrawAsk {
-        from: usize,
-        to: usize,
-        sent_at: ClockTime,
-        shard: ShardId,
-    },
-    DrawTold {
-        from: usize,
-        to: usize,
-        sent_at: ClockTime,
-        shard: ShardId,
-        grant: u64,
-    },
-    Closed {
-        to: usize,
-        shard: ShardId,
-        grant: u64,
-        spent: bool,
-    },
-}
-
-struct FleetModel {
-    random: ChaCha8Rng,
-    now: ClockTime,
-    log: Vec<Vec<u8>>,
-    log_out: bool,
-    hosts: Vec<HostState>,
-    lives: u64,
-    messages: Vec<Message>,
-    isolated: [bool; HOSTS],
-    accepted_at: Vec<ClockTime>,
-    spent_at: Vec<u64>,
-    seen: Counters,
+use crate::BURST;
+use crate::HOSTS;
+use crate::MAX_MESSAGES;
+use crate::RATE;
+use crate::SHARDS;
+use crate::WORKSPACE;
+use crate::model_delivery::deliver;
+use crate::model_edits::edit;
+use crate::model_edits::limit_change;
+use crate::model_message::Message;
+
+pub(crate) struct FleetModel {
+    pub(crate) random: ChaCha8Rng,
+    pub(crate) now: ClockTime,
+    pub(crate) log: Vec<Vec<u8>>,
+    pub(crate) log_out: bool,
+    pub(crate) hosts: Vec<HostState>,
+    pub(crate) lives: u64,
+    pub(crate) messages: Vec<Message>,
+    pub(crate) isolated: [bool; HOSTS],
+    pub(crate) accepted_at: Vec<ClockTime>,
+    pub(crate) spent_at: Vec<u64>,
+    pub(crate) seen: Counters,
 }
 
 /// What happened in all runs, to show that the schedules reach it.
 #[derive(Debug, Default)]
-struct Counters {
-    accepted: usize,
-    spent: usize,
-    moved: u64,
-    fresh_in_outage: usize,
+pub(crate) struct Counters {
+    pub(crate) accepted: usize,
+    pub(crate) spent: usize,
+    pub(crate) moved: u64,
+    pub(crate) fresh_in_outage: usize,
 }
 
 impl FleetModel {
-    fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64) -> Self {
         let mut model = FleetModel {
             random: ChaCha8Rng::seed_from_u64(seed),
             now: ClockTime::from_millis(1_000_000),
@@ -177,7 +114,7 @@
         HostState::new(own, SHARDS, RoutingPolicy::Shared)
     }
 
-    fn append(&mut self, record: &FleetRecord) {
+    pub(crate) fn append(&mut self, record: &FleetRecord) {
         if !self.log_out {
             self.log.push(encode_record(record));
         }
@@ -247,12 +184,12 @@
         });
     }
 
-    fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         let host = self.random.random_range(0..HOSTS);
         let other = self.random.random_range(0..HOSTS);
         let shard = ShardId::from_u32(self.random.random_range(0..SHARDS));
         match self.random.random_range(0..1000) {
-            0..400 => self.deliver(),
+            0..400 => deliver(self),
             400..405 => self.drop_message(),
             405..460 => self.ask_log(host),
             460..560 if host != other => self.ask_peer(host, other),
@@ -424,7 +361,7 @@
     }
 
     /// A message that is not held back, or rarely one that is.
-    fn pick_message(&mut self) -> Option<usize> {
+    pub(crate) fn pick_message(&mut self) -> Option<usize> {
         while self.messages.len() > MAX_MESSAGES {
             self.drop_message();
         }
@@ -442,251 +379,4 @@
         }
         Some(free[self.random.random_range(0..free.len())])
     }
-
-    fn deliver(&mut self) {
-        let Some(index) = self.pick_message() else {
-            return;
-        };
-        let now = self.now;
-        match self.messages.swap_remove(index) {
-            Message::Append { record, .. } => self.append(&record),
-            Message::ReadAnswer {
-                host,
-                first,
-                tail,
-                asked_at,
-                records,
-            } => {
-                let state = &mut self.hosts[host];
-                state.absorb(first, records, now);
-                if state.fold.next_offset() >= tail {
-                    state.freshness.note_evidence(asked_at);
-                }
-            }
-            Message::PullAsk {
-                from,
-                to,
-                asked_at,
-                request,
-            } => {
-                let asked_from = request.next_offset;
-                let mut answer = Box::new(self.hosts[to].answer_pull(request, now));
-                if self.random.random_bool(0.2) {
-                    answer.records = None;
-                }
-                self.messages.push(Message::PullTold {
-                    from,
-                    asked_from,
-                    asked_at,
-                    answer,
-                });
-            }
-            Message::PullTold {
-                from,
-                asked_from,
-                asked_at,
-                answer,
-            } => {
-                self.hosts[from].take_pull_answer(asked_from, asked_at, *answer, now);
-            }
-            Message::DrawAsk {
-                from,
-                to,
-                sent_at,
-                shard,
-            } => {
-                let request = DrawRequest {
-                    shard: shard.as_u32(),
-                    workspace: WORKSPACE.into(),
-                };
-                if let DrawAnswer::Granted { grant } = self.hosts[to].answer_draw(&request, now) {
-                    self.messages.push(Message::DrawTold {
-                        from,
-                        to,
-                        sent_at,
-                        shard,
-                        grant,
-                    });
-                }
-            }
-            Message::DrawTold {
-                from,
-                to,
-                sent_at,
-                shard,
-                grant,
-            } => {
-                let expires = sent_at.plus(timing::DRAWN_TOKEN_MS);
-                let spent = expires > now && self.hosts[from].is_fresh(now);
-                if spent {
-                    self.spent_at.push(now.as_millis());
-                }
-                self.messages.push(Message::Closed {
-                    to,
-                    shard,
-                    grant,
-                    spent,
-                });
-            }
-            Message::Closed {
-                to,
-                shard,
-                grant,
-                spent,
-            } => {
-                let state = &mut self.hosts[to];
-                if let Ok(workspace) = state.fold.config().find_workspace(WORKSPACE) {
-                    state
-                        .ledger
-                        .close(shard, workspace, GrantId(grant), spent, now);
-                }
-            }
-        }
-    }
-
-    fn check(&mut self, seed: u64, step: usize) {
-        let now = self.now;
-        for host in &mut self.hosts {
-            host.settle(now);
-        }
-        let accepted = self
-            .hosts
-            .iter()
-            .map(|host| host.acceptance.accepted())
-            .max()
-            .unwrap_or(0);
-        while (self.accepted_at.len() as u64) < accepted {
-            self.accepted_at.push(now);
-        }
-        for host in &self.hosts {
-            let Some(age) = host.freshness.age(now) else {
-                continue;
-            };
-            let evidence = now.minus(age);
-            let known = self
-                .accepted_at
-                .iter()
-                .take_while(|at| **at < evidence)
-                .count() as u64;
-            let next = host.fold.next_offset();
-            assert!(
-                next >= known,
-                "seed {seed} step {step}: a fresh host misses record {next}"
-            );
-            self.seen.fresh_in_outage += usize::from(self.log_out && host.is_fresh(now));
-        }
-        for shard in (0..SHARDS).map(ShardId::from_u32) {
-            let spenders = self
-                .hosts
-                .iter()
-                .filter(|host| host.is_fresh(now) && host.ledger.is_active(shard))
-                .count();
-            assert!(
-                spenders <= 1,
-                "seed {seed} step {step}: {spenders} hosts spend from {shard}"
-            );
-        }
-        for pair in self.hosts.windows(2) {
-            if pair[0].fold.next_offset() == pair[1].fold.next_offset() {
-                assert!(
-                    pair[0].fold == pair[1].fold,
-                    "seed {seed} step {step}: folds differ"
-                );
-            }
-        }
-    }
-
-    fn check_spent(&self, seed: u64) {
-        let burst = f64::from(BURST);
-        let rate = f64::from(RATE) / 1_000.0;
-        let mut level = burst;
-        let mut last = self.spent_at.first().copied().unwrap_or(0);
-        for at in &self.spent_at {
-            level = (level + (at - last) as f64 * rate).min(burst) - 1.0;
-            last = *at;
-            assert!(
-                level > -1e-6,
-                "seed {seed}: a window exceeds the limit by {}",
-                -level
-            );
-        }
-    }
-}
-
-impl Message {
-    fn involves(&self, host: usize) -> bool {
-        match self {
-            Message::ReadAnswer { host: reader, .. } => *reader == host,
-            Message::PullAsk { from, to, .. }
-            | Message::DrawAsk { from, to, .. }
-            | Message::DrawTold { from, to, .. } => *from == host || *to == host,
-            Message::PullTold { from, .. } => *from == host,
-            Message::Closed { to, .. } => *to == host,
-            Message::Append { host: writer, .. } => *writer == host,
-        }
-    }
-}
-
-fn edit(id: u128, change: ConfigChange) -> FleetRecord {
-    FleetRecord::Edit(EditRecord {
-        id: EditId(id),
-        base: 0,
-        author: "model".into(),
-        change,
-    })
-}
-
-fn limit_change(setting: SettingName, value: u32) -> ConfigChange {
-    ConfigChange::PutException {
-        scope: ExceptionScope::Workspace(WORKSPACE.into()),
-        setting,
-        value,
-        reason: "the model's limit".into(),
-    }
-}
-
-#[test]
-fn random_schedules_keep_the_promises() {
-    let mut seen = Counters::default();
-    for seed in 0..RUNS {
-        let mut model = FleetModel::new(seed);
-        for step in 0..STEPS {
-            model.step();
-            model.check(seed, step);
-        }
-        model.check_spent(seed);
-        seen.accepted += model.accepted_at.len();
-        seen.spent += model.spent_at.len();
-        seen.fresh_in_outage += model.seen.fresh_in_outage;
-        let tables = model.hosts.iter().map(|host| {
-            let generations = host
-                .fold
-                .table()
-                .iter()
-                .map(|(_, entry)| u64::from(entry.generation));
-            generations.sum::<u64>()
-        });
-        seen.moved += tables.max().unwrap_or(0);
-    }
-    println!("{seen:?}");
-    assert!(
-        seen.accepted > 5_000,
-        "schedules accept too few records: {seen:?}"
-    );
-    assert!(
-        seen.spent > 20_000,
-        "schedules spend too few tokens: {seen:?}"
-    );
-    assert!(
-        seen.moved > 4_000,
-        "schedules move too few shards: {seen:?}"
-    );
-    assert!(
-        seen.fresh_in_outage > 100_000,
-        "schedules have too few fresh hosts in outages: {seen:?}"
-    );
-    assert_eq!(
-        breach::ALL_KINDS.map(breach::count),
-        [0; breach::ALL_KINDS.len()]
-    );
 }
