Offer trials to as many hosts as it takes, and require them near the floor

Change: a hub offers a trial in rounds of 300 ms to a number of hosts that follows how often offers stay unused; hosts report the trials they used. After two unused rounds a trial is required, and any request may be used, if a tenth of the service's requests are not served (as callers see it, reported per service, failed required trials left out so that they do not keep themselves going) and the suspected instances that all hosts reach outnumber 0.3 of the healthy ones.

--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -13,6 +13,7 @@
 
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::ReporterId;
+use crocushoist_policy::ServiceCounts;
 use crocushoist_policy::WorkspaceCounts;
 use crocushoist_policy::name_hash;
 use crocushoist_state::ClockTime;
@@ -68,6 +69,8 @@
         uses: counts.map(|counts| (&counts).into()).collect(),
         in_flight: table.in_flight(),
         outcomes: table.take_counts().iter().map(Into::into).collect(),
+        used_trials: table.take_used_trials(),
+        services: table.take_service_counts().iter().map(Into::into).collect(),
     }
 }
 
@@ -89,6 +92,11 @@
     aggregator.set_host_load(peer_address, report.in_flight.clone());
     aggregator.update_limiters(|hash| context.limit_of_hash(hash), now);
     let mut table = context.instances.borrow_mut();
+    for wire in &report.services {
+        aggregator.add_service_counts(wire.into());
+        table.add_service_counts(wire.into(), now);
+    }
+    table.record_trials(&report.used_trials, now);
     let is_own_report = peer_address == context.own_host.peer_address;
     for wire in &report.outcomes {
         let (instance, counts): (u32, OutcomeCounts) = wire.into();
@@ -106,7 +114,8 @@
     let data_centre = &context.own_host.data_centre;
     let trials = if context.is_hub.get() && report.callers.is_some() {
         let mut table = context.instances.borrow_mut();
-        table.assign_trials(data_centre, MAX_TRIALS_PER_ANSWER, now)
+        let trials = table.assign_trials(data_centre, MAX_TRIALS_PER_ANSWER, now);
+        trials.iter().map(Into::into).collect()
     } else {
         Vec::new()
     };
@@ -248,8 +257,8 @@
             u32::from(estimate.own_load),
         );
     }
-    for instance in &answer.trials {
-        table.apply_trial(*instance, now);
+    for trial in &answer.trials {
+        table.apply_trial(trial.into(), now);
     }
     let Some(shares) = &answer.shares else {
         return;
@@ -295,6 +304,7 @@
 pub(crate) fn new_summary(
     context: &EdgeContext,
     outcomes: &[(u32, OutcomeCounts)],
+    services: &[ServiceCounts],
     with_hosts: bool,
     now: ClockTime,
 ) -> HubSummary {
@@ -310,6 +320,7 @@
         uses: aggregator.local_totals().iter().map(Into::into).collect(),
         heard_hubs: reachable_hubs.collect(),
         outcomes: outcomes.iter().map(Into::into).collect(),
+        services: services.iter().map(Into::into).collect(),
         reporters: aggregator.reporter_count(now),
         in_flight: aggregator.local_load(now).into_iter().collect(),
     }
@@ -340,6 +351,9 @@
     aggregator.set_hub_load(peer_address, summary.reporters, summary.in_flight);
     aggregator.add_named_hubs(&summary.heard_hubs, now);
     let mut table = context.instances.borrow_mut();
+    for wire in &summary.services {
+        table.add_service_counts(wire.into(), now);
+    }
     for wire in &summary.outcomes {
         let (instance, counts): (u32, OutcomeCounts) = wire.into();
         table.record_outcome_counts(instance, &counts, now);
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -22,6 +22,8 @@
 use crocushoist_policy::InstanceState;
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::Presence;
+use crocushoist_policy::ServiceCounts;
+use crocushoist_policy::TrialOffer;
 use crocushoist_policy::WorkspaceCounts;
 use crocushoist_state::ClockTime;
 
@@ -57,6 +59,10 @@
     pub(crate) outcomes: Vec<WireOutcomes>,
     /// Requests in flight by the hash of the instance's id.
     pub(crate) in_flight: Vec<(u32, u32)>,
+    /// Instances, by the hash of the id, whose trials the host used since the last report.
+    pub(crate) used_trials: Vec<u32>,
+    /// Requests that ended since the last report, by service.
+    pub(crate) services: Vec<WireServiceCounts>,
 }
 
 /// Answer of a hub to a report.
@@ -84,9 +90,8 @@
     pub(crate) shares: Option<Vec<(u32, u16)>>,
     /// Estimates of all usable instances.
     pub(crate) beliefs: Vec<WireEstimate>,
-    /// Suspected instances to which the reporter should send a trial request, by the hash of the
-    /// id.
-    pub(crate) trials: Vec<u32>,
+    /// Suspected instances to which the reporter may send a trial request.
+    pub(crate) trials: Vec<WireTrial>,
     /// Data centre and address of the hosts that accept callers, `None` if the reporter already
     /// has the list.
     pub(crate) fleet: Option<Vec<(CompactString, SocketAddr)>>,
@@ -109,6 +114,8 @@
     pub(crate) heard_hubs: Vec<SocketAddr>,
     /// Outcomes of attempts at instances since the last summary.
     pub(crate) outcomes: Vec<WireOutcomes>,
+    /// Requests that ended since the last summary, by service.
+    pub(crate) services: Vec<WireServiceCounts>,
     /// Number of hosts that report to the hub.
     pub(crate) reporters: u32,
     /// Requests in flight from these hosts by the hash of the instance's id.
@@ -142,6 +149,26 @@
     }
 }
 
+/// Hash of a service's name, its requests that ended and those of them that were not served.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireServiceCounts(u32, u32, u32);
+
+impl From<&ServiceCounts> for WireServiceCounts {
+    fn from(counts: &ServiceCounts) -> Self {
+        WireServiceCounts(counts.service, counts.requests, counts.unserved)
+    }
+}
+
+impl From<&WireServiceCounts> for ServiceCounts {
+    fn from(wire: &WireServiceCounts) -> Self {
+        ServiceCounts {
+            service: wire.0,
+            requests: wire.1,
+            unserved: wire.2,
+        }
+    }
+}
+
 /// Outcomes of attempts at one instance, which is given by the hash of its id.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireOutcomes {
@@ -194,6 +221,25 @@
     pub(crate) own_load: u16,
 }
 
+/// Hash of a suspected instance's id, and whether its trial is required.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireTrial(u32, bool);
+
+impl From<&TrialOffer> for WireTrial {
+    fn from(offer: &TrialOffer) -> Self {
+        WireTrial(offer.instance, offer.is_required)
+    }
+}
+
+impl From<&WireTrial> for TrialOffer {
+    fn from(wire: &WireTrial) -> Self {
+        TrialOffer {
+            instance: wire.0,
+            is_required: wire.1,
+        }
+    }
+}
+
 /// One instance's entry in the list.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireListing {
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -228,10 +228,13 @@
 
     /// Sends summary `number` with the outcomes since the last one.
     async fn send_summaries(&self, number: u32, now: ClockTime) {
-        let outcomes = self.context.aggregator.borrow_mut().take_outcomes();
+        let (outcomes, services) = {
+            let mut aggregator = self.context.aggregator.borrow_mut();
+            (aggregator.take_outcomes(), aggregator.take_service_counts())
+        };
         for hub in self.all_summary_recipients(number, now) {
             let with_hosts = number.is_multiple_of(SUMMARIES_PER_HOST_LIST);
-            let summary = new_summary(&self.context, &outcomes, with_hosts, now);
+            let summary = new_summary(&self.context, &outcomes, &services, with_hosts, now);
             self.send_to(hub, &PeerMessage::Summary(summary)).await;
         }
     }
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -106,6 +106,12 @@
             let Some(guard) = self.choose_instance(&mut progress) else {
                 return self.final_response(progress, EdgeReason::NoInstance);
             };
+            record.is_required_trial = self.retry_safety == RetrySafety::AtMostOnce
+                && self
+                    .context
+                    .instances
+                    .borrow()
+                    .is_suspected(guard.key(), ClockTime::now());
             let result = self.attempt_hedged(guard, &mut progress, record).await;
             let result_name = result.name();
             match result {
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -16,6 +16,7 @@
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
@@ -92,6 +93,7 @@
     };
     context.metrics.count_response(outcome);
     let status = response.status().as_u16();
+    count_for_service(&context, &record, response.status());
     record.log_end(&context.logger, outcome, status, millis, rand::random());
     if context.stopping.get() {
         let headers = response.headers_mut();
@@ -118,13 +120,14 @@
     let workspace = find_workspace(context, &config, route, key)?;
     let budget_ms = time_budget_ms(&head.headers, route);
     record.budget_ms = budget_ms;
+    let service = route
+        .service_for(rand::random())
+        .ok_or(EdgeRefusal::new(EdgeReason::NoInstance))?;
+    record.service = service.clone();
     if let Some(workspace) = workspace {
         record.workspace = workspace.name.clone();
         check_limit(context, workspace, record)?;
     }
-    let service = route
-        .service_for(rand::random())
-        .ok_or(EdgeRefusal::new(EdgeReason::NoInstance))?;
     deposit_retry(context, service);
     let rank = AdmissionRank::for_request(&config, route, workspace);
     check_capacity(context, service, rank, record)
@@ -264,6 +267,17 @@
     }
 }
 
+/// Counts a request for its service, unless it failed as a trial that only the floor required.
+fn count_for_service(context: &EdgeContext, record: &RequestRecord, status: StatusCode) {
+    let is_refused = status == StatusCode::TOO_MANY_REQUESTS;
+    let is_served = !is_refused && !status.is_server_error();
+    if record.service.is_empty() || (record.is_required_trial && !is_served) {
+        return;
+    }
+    let mut table = context.instances.borrow_mut();
+    table.count_request(&record.service, is_served);
+}
+
 /// Withdraws the admission of a request for which no attempt was made.
 fn undo_admission(context: &EdgeContext, workspace: Option<&WorkspaceSpec>) {
     let Some(workspace) = workspace else {
--- a/crates/edge/src/request_record.rs
+++ b/crates/edge/src/request_record.rs
@@ -33,6 +33,10 @@
     pub(crate) waiting_per_slot: Option<f64>,
     /// Milliseconds until the caller's deadline, from the arrival of the request.
     pub(crate) budget_ms: u64,
+    /// Name of the service, empty before one was chosen.
+    pub(crate) service: CompactString,
+    /// Whether the request may run only once and was sent to a suspected instance.
+    pub(crate) is_required_trial: bool,
     attempts: Vec<AttemptRecord>,
     attempt_count: usize,
 }
--- a/crates/policy/src/hub_aggregator.rs
+++ b/crates/policy/src/hub_aggregator.rs
@@ -28,6 +28,7 @@
 use crate::NearFullRecords;
 use crate::OutcomeCounts;
 use crate::ReporterId;
+use crate::ServiceCounts;
 use crate::WindowLimit;
 use crate::WindowLimiter;
 use crate::WorkspaceCounts;
@@ -93,6 +94,8 @@
     limiters: HashMap<u32, WindowLimiter>,
     /// Outcomes to send to the other hubs, by instance hash.
     outcomes: HashMap<u32, OutcomeCounts>,
+    /// Requests to send to the other hubs, by the hash of the service's name.
+    service_counts: HashMap<u32, ServiceCounts>,
     /// Time of the last update of the limiters.
     updated_at: ClockTime,
     /// Time of the first report of a host of this data centre.
@@ -238,6 +241,22 @@
         load
     }
 
+    /// Adds requests that hosts of this data centre reported, to be sent to the other hubs.
+    pub fn add_service_counts(&mut self, counts: ServiceCounts) {
+        let sum = self.service_counts.entry(counts.service).or_default();
+        sum.service = counts.service;
+        sum.requests += counts.requests;
+        sum.unserved += counts.unserved;
+    }
+
+    /// Drains the requests to be sent to the other hubs.
+    pub fn take_service_counts(&mut self) -> Vec<ServiceCounts> {
+        self.service_counts
+            .drain()
+            .map(|(_, counts)| counts)
+            .collect()
+    }
+
     /// Adds outcomes that hosts of this data centre observed, to be sent to the other hubs.
     pub fn add_outcomes(&mut self, instance: u32, counts: &OutcomeCounts) {
         let sum = self.outcomes.entry(instance).or_default();
--- a/crates/policy/src/instance_index.rs
+++ b/crates/policy/src/instance_index.rs
@@ -29,6 +29,11 @@
         self.by_hash.get(&hash).copied()
     }
 
+    /// Names of all services.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &CompactString> {
+        self.by_service.keys()
+    }
+
     /// Instances of `service`.
     pub(crate) fn members(&self, service: &str) -> impl Iterator<Item = InstanceKey> {
         self.by_service.get(service).into_iter().flatten().copied()
--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -11,6 +11,7 @@
 use crate::InstanceKey;
 use crate::InstanceState;
 use crate::RetrySafety;
+use crate::TrialOffer;
 
 /// Costs, in units of the service's mean latency.
 ///
@@ -93,20 +94,17 @@
         let trial = if allow_trial && self.retry_safety == RetrySafety::Idempotent {
             self.select_trial(draws)
         } else {
-            None
+            self.find_trial(|offer| offer.is_required)
         };
         trial.or_else(|| self.select_by_cost(draws.1))
     }
 
-    /// Selects a suspected instance for a trial request: one that the hub assigned, or one
+    /// Selects a suspected instance for a trial request: one that the hub offered, or one
     /// drawn with two random numbers from 0 to 1.
     fn select_trial(&self, draws: (f64, f64)) -> Option<InstanceKey> {
-        let assigned = self
-            .candidates
-            .iter()
-            .find(|candidate| candidate.state.has_trial(self.now));
-        if let Some(candidate) = assigned {
-            return Some(candidate.key);
+        let offered = self.find_trial(|_| true);
+        if offered.is_some() {
+            return offered;
         }
         let suspects: Vec<InstanceKey> = self
             .candidates
@@ -122,6 +120,14 @@
         suspects.get(index).copied()
     }
 
+    /// Instance whose trial the hub offered to this host and that `accepts` permits.
+    fn find_trial(&self, accepts: impl Fn(TrialOffer) -> bool) -> Option<InstanceKey> {
+        let mut candidates = self.candidates.iter();
+        let offered =
+            candidates.find(|candidate| candidate.state.trial(self.now).is_some_and(&accepts));
+        offered.map(|candidate| candidate.key)
+    }
+
     /// Selects an instance by expected cost, with a random number from 0 to 1.
     fn select_by_cost(&self, draw: f64) -> Option<InstanceKey> {
         let costs: Vec<f64> = self
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -7,7 +7,10 @@
 use crate::InstanceListing;
 use crate::OutcomeCounts;
 use crate::Presence;
+use crate::TrialOffer;
 use crate::name_hash;
+use crate::trial_round::OFFER_VALID_MS;
+use crate::trial_round::TrialRound;
 
 /// Backoff in milliseconds after an instance shed a request because it was full.
 const SHED_BACKOFF_MS: u64 = 150;
@@ -21,16 +24,9 @@
 /// lower estimate of the hub is ignored.
 const KEEP_LOCAL_FAILURE_MS: u64 = 500;
 
-/// Milliseconds without a known outcome of any host's request after which the hub assigns a trial
-/// of a suspected instance, one whose fault probability is at least `SUSPECT_PROBABILITY`.
-///
-/// The users' platform counts an instance as healthy two seconds after its last failure and
-/// requires that it gets a request in the following two seconds; three trials fit in these four
-/// seconds, at least one of them in the last two.
-const TRIAL_INTERVAL_MS: u64 = 1_200;
-
-/// Milliseconds for which a host may use a trial that the hub assigned to it.
-const TRIAL_VALID_MS: u64 = 1_000;
+/// Milliseconds after a failed connection for which an instance counts as partly unreachable; twice
+/// the longest stability time of the users' deployments.
+const UNREACHABLE_MEMORY_MS: u64 = 8_000;
 
 /// Weight of a new latency in the exponential moving average.
 const LATENCY_SMOOTHING: f64 = 0.08;
@@ -61,12 +57,16 @@
     backoff_until: ClockTime,
     /// Next backoff in milliseconds if this host cannot reach the instance.
     unreachable_backoff_ms: u64,
+    /// Time at which a host last failed to connect to the instance.
+    last_unreachable_at: Option<ClockTime>,
     /// Time of the last failure seen by this host.
     last_failure_at: Option<ClockTime>,
-    /// Time of the last known outcome, or of the last trial assigned to a host.
-    last_tried_at: ClockTime,
-    /// Time until which this host may send one trial request.
-    trial_until: ClockTime,
+    /// At the hub: offers of trials to hosts.
+    pub(crate) trial_round: TrialRound,
+    /// Trial that the hub offered to this host, with the time at which the offer ends.
+    trial: Option<(TrialOffer, ClockTime)>,
+    /// Whether this host used a trial since the last report.
+    has_used_trial: bool,
     /// Whether the instance itself reported that it is leaving or is not the listed instance. A
     /// newer entry of the same start does not clear this.
     has_reported_departure: bool,
@@ -94,9 +94,11 @@
             latency_ms,
             backoff_until: ClockTime::default(),
             unreachable_backoff_ms: MIN_UNREACHABLE_BACKOFF_MS,
+            last_unreachable_at: None,
             last_failure_at: None,
-            last_tried_at: now,
-            trial_until: ClockTime::default(),
+            trial_round: TrialRound::new(now),
+            trial: None,
+            has_used_trial: false,
             has_reported_departure: false,
             counts: OutcomeCounts::default(),
             listing,
@@ -124,6 +126,12 @@
         self.estimate.probability(now)
     }
 
+    /// Whether all hosts that tried lately could connect, as far as this host knows.
+    pub(crate) fn is_reachable(&self, now: ClockTime) -> bool {
+        self.last_unreachable_at
+            .is_none_or(|at| now.since(at) > UNREACHABLE_MEMORY_MS)
+    }
+
     /// Moving average of the latency in milliseconds.
     pub fn latency_ms(&self) -> f64 {
         self.latency_ms
@@ -173,13 +181,15 @@
         latency_ms: u64,
         now: ClockTime,
     ) {
-        self.last_tried_at = self.last_tried_at.max(now);
         self.estimate.record_outcome(outcome, now);
         match outcome {
             AttemptOutcome::Good => self.counts.good += 1,
             AttemptOutcome::Late => self.counts.late += 1,
             AttemptOutcome::Failed => self.counts.failed += 1,
-            AttemptOutcome::Unreachable => self.counts.unreachable += 1,
+            AttemptOutcome::Unreachable => {
+                self.counts.unreachable += 1;
+                self.last_unreachable_at = Some(now);
+            }
         }
         if matches!(outcome, AttemptOutcome::Good | AttemptOutcome::Late) {
             self.unreachable_backoff_ms = MIN_UNREACHABLE_BACKOFF_MS;
@@ -192,7 +202,9 @@
 
     /// At the hub: records outcomes that other hosts reported.
     pub(crate) fn record_outcome_counts(&mut self, counts: &OutcomeCounts, now: ClockTime) {
-        self.last_tried_at = self.last_tried_at.max(now);
+        if counts.unreachable > 0 {
+            self.last_unreachable_at = Some(now);
+        }
         let responses = counts.good + counts.late;
         if let Some(mean) = counts.latency_sum_ms.checked_div(responses) {
             for _ in 0..responses {
@@ -212,29 +224,26 @@
         }
     }
 
-    /// At the hub: returns whether a trial is due, and restarts the interval if so.
-    pub(crate) fn assign_trial(&mut self, now: ClockTime) -> bool {
-        let is_due = now.since(self.last_tried_at) > TRIAL_INTERVAL_MS;
-        if is_due {
-            self.last_tried_at = now;
-        }
-        is_due
-    }
-
-    /// Accepts a trial that the hub assigned to this host.
-    pub(crate) fn apply_trial(&mut self, now: ClockTime) {
-        self.trial_until = now.plus(TRIAL_VALID_MS);
+    /// Accepts a trial that the hub offered to this host.
+    pub(crate) fn apply_trial(&mut self, offer: TrialOffer, now: ClockTime) {
+        self.trial = Some((offer, now.plus(OFFER_VALID_MS)));
     }
 
-    /// Whether this host holds an assigned trial that has not expired.
-    pub(crate) fn has_trial(&self, now: ClockTime) -> bool {
-        now < self.trial_until
+    /// Trial that this host may send.
+    pub(crate) fn trial(&self, now: ClockTime) -> Option<TrialOffer> {
+        let (offer, ends_at) = self.trial?;
+        (now < ends_at).then_some(offer)
     }
 
-    /// Counts a request sent to the instance, which uses up an assigned trial.
+    /// Counts a request sent to the instance, which uses up an offered trial.
     pub(crate) fn record_sent(&mut self) {
         self.in_flight += 1;
-        self.trial_until = ClockTime::default();
+        self.has_used_trial |= self.trial.take().is_some();
+    }
+
+    /// Whether this host used a trial since the last call.
+    pub(crate) fn take_used_trial(&mut self) -> bool {
+        std::mem::take(&mut self.has_used_trial)
     }
 
     /// Drains the outcome counts recorded since the last call.
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -6,6 +6,7 @@
 //! fault probability alone never excludes an instance: while all of them look
 //! faulty, the least suspicious ones still serve requests.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
@@ -21,11 +22,17 @@
 use crate::OutcomeCounts;
 use crate::Presence;
 use crate::RetrySafety;
+use crate::ServiceCounts;
+use crate::TrialOffer;
 use crate::instance_index::InstanceIndex;
 use crate::instance_selector::InstanceCandidate;
 use crate::instance_selector::InstanceSelector;
 use crate::instance_selector::SUSPECT_PROBABILITY;
 use crate::instance_selector::prefer_past_backoff;
+use crate::name_hash;
+use crate::service_counts::UnservedShare;
+use crate::trial_round::TrialKind;
+use crate::trial_width::TrialWidth;
 
 /// Latency in milliseconds that is assumed before the first response of a service.
 const INITIAL_LATENCY_MS: f64 = 250.0;
@@ -33,6 +40,16 @@
 /// Multiple of the service's mean latency up to which a response never counts as late.
 const SLOW_LATENCY_FACTOR: f64 = 2.5;
 
+/// Fraction of a service's requests that are refused or fail from which trials are required.
+///
+/// The users' platform requires requests to the healthy instances from a tenth on.
+const REQUIRED_TRIAL_SHARE: f64 = 0.09;
+
+/// Suspected instances for each healthy one up to which the floor holds without required trials.
+///
+/// The platform's floor of 0.7 allows 0.43.
+const MAX_UNTRIED_RATIO: f64 = 0.3;
+
 /// Known instances of all services.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTable {
@@ -42,6 +59,14 @@
     index: InstanceIndex,
     /// Offset of the first entry that was not applied yet.
     next_offset: u64,
+    /// Requests of this host since the last report, by the hash of the service's name.
+    service_counts: HashMap<u32, ServiceCounts>,
+    /// At the hub: requests of the fleet, likewise.
+    unserved_shares: HashMap<u32, UnservedShare>,
+    /// Number of hosts to which a round offers one trial.
+    trial_width: TrialWidth,
+    /// Number of hosts to which a round offers one required trial.
+    required_trial_width: TrialWidth,
 }
 
 impl InstanceTable {
@@ -246,30 +271,128 @@
         Some(chosen)
     }
 
-    /// At the hub: assigns trials of up to `max_count` suspected instances of `data_centre` to a
-    /// host and returns the instances' hashes.
+    /// At the hub: trials of up to `max_count` suspected instances of `data_centre` to offer to a
+    /// host.
     ///
     /// If hosts only selected trials at random, some instances would get no request for
-    /// seconds.
+    /// seconds. While many requests of a service fail, its trials are required: requests that may
+    /// run only once are then used too.
     pub fn assign_trials(
         &mut self,
         data_centre: &str,
         max_count: usize,
         now: ClockTime,
-    ) -> Vec<u32> {
+    ) -> Vec<TrialOffer> {
+        let endangered = self.endangered_services(now);
+        let mut offers = Vec::new();
+        for state in self.instances.values_mut() {
+            if offers.len() == max_count {
+                break;
+            }
+            let is_suspected = state.listing.data_centre == data_centre
+                && state.is_usable(now)
+                && state.fault_probability(now) >= SUSPECT_PROBABILITY;
+            if !is_suspected || !state.trial_round.is_due(now) {
+                continue;
+            }
+            let round = &mut state.trial_round;
+            if round.is_over(now) {
+                match round.open_kind() {
+                    Some(TrialKind::Required) => self.required_trial_width.record_unused(),
+                    Some(TrialKind::Optional) => self.trial_width.record_unused(),
+                    None => {}
+                }
+                if round.is_overdue() && endangered.contains(&state.listing.service) {
+                    let offers = self.required_trial_width.offers();
+                    round.start(TrialKind::Required, offers, now);
+                } else {
+                    round.start(TrialKind::Optional, self.trial_width.offers(), now);
+                }
+            }
+            if let Some(kind) = round.take_offer() {
+                offers.push(TrialOffer {
+                    instance: state.hash,
+                    is_required: kind == TrialKind::Required,
+                });
+            }
+        }
+        offers
+    }
+
+    /// Services of which many requests are not served while many of the instances that all hosts
+    /// can reach are suspected: the floor may be missed without trials.
+    fn endangered_services(&self, now: ClockTime) -> Vec<CompactString> {
+        let mut services = Vec::new();
+        for service in self.index.services() {
+            let share = self.unserved_shares.get(&name_hash(service));
+            if share.map_or(0.0, UnservedShare::fraction) < REQUIRED_TRIAL_SHARE {
+                continue;
+            }
+            let members = self.usable_members(service, now);
+            let reachable = members.filter(|(_, state)| state.is_reachable(now));
+            let (suspected, healthy): (Vec<_>, Vec<_>) = reachable
+                .partition(|(_, state)| state.fault_probability(now) >= SUSPECT_PROBABILITY);
+            if suspected.len() as f64 > healthy.len() as f64 * MAX_UNTRIED_RATIO {
+                services.push(service.clone());
+            }
+        }
+        services
+    }
+
+    /// At the hub: records the trials that a host used, by instance hash.
+    pub fn record_trials(&mut self, used: &[u32], now: ClockTime) {
+        for hash in used {
+            if let Some(key) = self.find_hash(*hash) {
+                self.record_tried(key, false, now);
+            }
+        }
+    }
+
+    /// Counts a request of this host that ended.
+    pub fn count_request(&mut self, service: &str, is_served: bool) {
+        let service = name_hash(service);
+        let counts = self.service_counts.entry(service).or_default();
+        counts.service = service;
+        counts.requests += 1;
+        counts.unserved += u32::from(!is_served);
+    }
+
+    /// Drains the requests of this host since the last call, by service.
+    pub fn take_service_counts(&mut self) -> Vec<ServiceCounts> {
+        self.service_counts
+            .drain()
+            .map(|(_, counts)| counts)
+            .collect()
+    }
+
+    /// At the hub: adds requests that a host or another hub reported.
+    pub fn add_service_counts(&mut self, counts: ServiceCounts, now: ClockTime) {
+        let share = self.unserved_shares.entry(counts.service).or_default();
+        share.add(counts, now);
+    }
+
+    /// Accepts a trial that the hub offered to this host.
+    pub fn apply_trial(&mut self, offer: TrialOffer, now: ClockTime) {
+        if let Some(key) = self.find_hash(offer.instance) {
+            self.instances[key].apply_trial(offer, now);
+        }
+    }
+
+    /// Drains the instances, by hash, whose trials this host used since the last call.
+    pub fn take_used_trials(&mut self) -> Vec<u32> {
         self.instances
             .values_mut()
-            .filter(|state| state.listing.data_centre == data_centre && state.is_usable(now))
-            .filter(|state| state.fault_probability(now) >= SUSPECT_PROBABILITY)
-            .filter_map(|state| state.assign_trial(now).then_some(state.hash))
-            .take(max_count)
+            .filter_map(|state| state.take_used_trial().then_some(state.hash))
             .collect()
     }
 
-    /// Accepts a trial of the instance with `hash` that the hub assigned to this host.
-    pub fn apply_trial(&mut self, hash: u32, now: ClockTime) {
-        if let Some(key) = self.find_hash(hash) {
-            self.instances[key].apply_trial(now);
+    /// Records a request to the instance `key` for the offers of trials.
+    fn record_tried(&mut self, key: InstanceKey, has_response: bool, now: ClockTime) {
+        let round = &mut self.instances[key].trial_round;
+        match round.record_tried(has_response, now) {
+            Some(TrialKind::Required) => self.required_trial_width.record_used(),
+            Some(TrialKind::Optional) => self.trial_width.record_used(),
+            None => {}
         }
     }
 
@@ -279,6 +402,11 @@
         state.in_flight = state.in_flight.saturating_sub(1);
     }
 
+    /// Whether the instance `key` is suspected to be faulty.
+    pub fn is_suspected(&self, key: InstanceKey, now: ClockTime) -> bool {
+        self.instances[key].fault_probability(now) >= SUSPECT_PROBABILITY
+    }
+
     /// Records the outcome of an attempt by this host.
     pub fn record_outcome(
         &mut self,
@@ -287,6 +415,8 @@
         latency_ms: u64,
         now: ClockTime,
     ) {
+        let has_response = matches!(outcome, AttemptOutcome::Good | AttemptOutcome::Late);
+        self.record_tried(key, has_response, now);
         self.instances[key].record_outcome(outcome, latency_ms, now);
     }
 
@@ -319,6 +449,7 @@
     /// At the hub: records outcome counts that other hosts reported.
     pub fn record_outcome_counts(&mut self, hash: u32, counts: &OutcomeCounts, now: ClockTime) {
         if let Some(key) = self.find_hash(hash) {
+            self.record_tried(key, counts.good + counts.late > 0, now);
             self.instances[key].record_outcome_counts(counts, now);
         }
     }
