Let hosts learn configuration, instances and hubs from each other

Change: - Hosts serve their configuration (with digests in place of keys) and instance list over TCP. A host fetches a version that its hub reports, and the whole list if the hub does not know all removals since the host's offset. - Reports tell what the reporter knows; a hub that the store turns away fetches evidence and list from a reporter that knows better. - When knowledge gets old, half a host a check reads the store for its data centre (StoreReadPacer); a host that no hub answers reads alone, rarely if no caller uses it. - A restarted host does not register again; a new fleet registers first and reads once. A host that is not hub names its own hub in place of having its reporters read the registrations. - The hosts with the most processor and network are hubs first.

What a host may conclude is unchanged: versions only increase, a peer's evidence counts from the moment it was asked, less its age.

--- a/crates/edge/src/config_reader.rs
+++ b/crates/edge/src/config_reader.rs
@@ -2,9 +2,9 @@
 //!
 //! A hub reads with a long poll: the read returns as soon as a version is
 //! written, and an empty result proves that nothing was written while it
-//! waited. The other hosts get this evidence from their hub. They read the
-//! store only if the hub reports a newer version or if the hub's evidence gets
-//! old.
+//! waited. The other hosts get this evidence from their hub, and newer versions
+//! from the host that reports them. If the evidence gets old, some of them read
+//! the store and tell the hub.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +21,8 @@
 use crocushoist_platform::StoreRecord;
 use crocushoist_platform::StoreTopic;
 use crocushoist_platform::decode_config;
+use crocushoist_policy::DeploymentConfig;
+use crocushoist_policy::StoreReadPacer;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::EdgeContext;
@@ -29,10 +31,14 @@
 /// Milliseconds that a hub's read waits for a new version.
 const LONG_POLL_MS: u64 = 1_000;
 
-/// Age of the evidence in milliseconds above which a host reads the store itself: one long poll
+/// Age of the evidence in milliseconds above which hosts read the store themselves: one long poll
 /// plus one lost read.
 const MAX_EVIDENCE_AGE_MS: u64 = 1_500;
 
+/// Milliseconds after which a newer version that could not be fetched from a host is read from the
+/// store.
+const FETCH_GRACE_MS: u64 = 600;
+
 /// Milliseconds between checks whether this host must read the store.
 const CHECK_INTERVAL_MS: u64 = 100;
 
@@ -50,20 +56,23 @@
     let mut next_offset: Option<u64> = None;
     let mut backoff_ms = MIN_BACKOFF_MS;
     let mut is_reachable = true;
+    let mut pacer = StoreReadPacer::default();
     loop {
         let wait_ms = if context.is_hub.get() {
             LONG_POLL_MS
         } else {
             0
         };
-        if next_offset.is_some() && wait_ms == 0 && !should_read(&context) {
+        if wait_ms == 0 && !should_read(&context, &pacer) {
             sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
             continue;
         }
+        let requested_at = ClockTime::now();
         let outcome = match next_offset {
             Some(offset) => read_next(&context, &mut client, offset, wait_ms).await,
             None => read_newest(&context, &mut client).await.map(Some),
         };
+        pacer.record_read(outcome.is_ok(), requested_at);
         match outcome {
             Ok(offset) => {
                 context.metrics.count_store_call("ok");
@@ -82,18 +91,28 @@
                         "cause" => %error, "evidence_age_ms" => age);
                 }
                 is_reachable = false;
-                sleep(Duration::from_millis(backoff_ms)).await;
-                backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+                if context.is_hub.get() {
+                    sleep(Duration::from_millis(backoff_ms)).await;
+                    backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
+                }
             }
         }
     }
 }
 
-/// Whether a host that is not a hub must read the store itself.
-fn should_read(context: &EdgeContext) -> bool {
-    let age = context.evidence.borrow().age(ClockTime::now());
-    let is_stale = age.is_none_or(|age| age > MAX_EVIDENCE_AGE_MS);
-    is_stale || context.hub_config_version.get() > context.config_version()
+/// Whether a host that is not a hub reads the store now.
+fn should_read(context: &EdgeContext, pacer: &StoreReadPacer) -> bool {
+    let now = ClockTime::now();
+    let age = context.evidence.borrow().age(now);
+    let is_stale = match age {
+        None => !context.awaits_hub(now),
+        Some(age) => age > MAX_EVIDENCE_AGE_MS,
+    };
+    let misses_version = context.newest_config_version.get() > context.config_version();
+    let since_newer = context.newer_version_since.get();
+    let is_overdue = since_newer.is_some_and(|at| now.since(at) > FETCH_GRACE_MS);
+    (is_stale || (misses_version && is_overdue))
+        && pacer.is_due(context.read_sharing(now), rand::random(), now)
 }
 
 /// Reads the newest records and returns the next offset.
@@ -168,6 +187,20 @@
     ))
 }
 
+/// Puts `config` into force if it is newer than the present one; `source` says where it is from.
+pub(crate) fn apply_config(context: &EdgeContext, config: DeploymentConfig, source: &str) {
+    let current = context.config_version();
+    if config.version <= current {
+        return;
+    }
+    info!(context.logger, "configuration in force";
+        "version" => config.version, "before" => current, "source" => source,
+        "routes" => config.routes.iter().count(), "workspaces" => config.workspaces.len());
+    context.metrics.config_version.set(config.version as i64);
+    context.evidence.borrow_mut().clear_peer_evidence();
+    *context.config.borrow_mut() = Some(Rc::new(config));
+}
+
 /// Applies the newest configuration among `records`. Returns whether the newest one is in force
 /// here.
 fn apply_records(context: &EdgeContext, records: &[StoreRecord]) -> bool {
@@ -183,15 +216,7 @@
     };
     match decode_config(value) {
         Ok(config) => {
-            let current = context.config_version();
-            if config.version > current {
-                info!(context.logger, "configuration in force";
-                    "version" => config.version, "before" => current, "offset" => record.offset,
-                    "routes" => config.routes.iter().count(), "workspaces" => config.workspaces.len());
-                context.metrics.config_version.set(config.version as i64);
-                context.evidence.borrow_mut().clear_peer_evidence();
-                *context.config.borrow_mut() = Some(Rc::new(config));
-            }
+            apply_config(context, config, "store");
             true
         }
         Err(error) => {
--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -16,6 +16,7 @@
 use crocushoist_policy::HostRoster;
 use crocushoist_policy::HubAggregator;
 use crocushoist_policy::InstanceTable;
+use crocushoist_policy::ReadSharing;
 use crocushoist_policy::RetryBudget;
 use crocushoist_policy::WindowLimit;
 use crocushoist_policy::WorkspaceGate;
@@ -52,6 +53,22 @@
 /// Milliseconds for which assigned shares are valid; two exchanges with the hub may be lost.
 const SHARES_VALID_MS: u64 = 1_000;
 
+/// Age in milliseconds of the instance list above which hosts read the store themselves; two read
+/// intervals of a hub.
+const STALE_LISTING_MS: u64 = 1_000;
+
+/// Milliseconds after a hub's answer during which other hosts count as sharing a read of the store.
+const HUB_ANSWER_VALID_MS: u64 = 800;
+
+/// Milliseconds after a caller's request during which this host counts as serving.
+const REQUEST_RECENT_MS: u64 = 2_000;
+
+/// Milliseconds for which a host that has just started waits for its hub before it reads the store.
+const AWAIT_HUB_MS: u64 = 1_000;
+
+/// Milliseconds for which a host that has just started waits until it knows other hosts.
+const AWAIT_ROSTER_MS: u64 = 2_500;
+
 /// Shares of the workspaces' requests to admit, as the hub assigned them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AssignedShares {
@@ -98,8 +115,24 @@
     pub(crate) knows_hosts: Cell<bool>,
     /// Whether the registrations should be read again.
     pub(crate) roster_read_requested: Cell<bool>,
-    /// Newest configuration version that a hub reported.
-    pub(crate) hub_config_version: Cell<u64>,
+    /// Newest configuration version that another host reported.
+    pub(crate) newest_config_version: Cell<u64>,
+    /// When another host first reported a version newer than the one in force here.
+    pub(crate) newer_version_since: Cell<Option<ClockTime>>,
+    /// Host from which a newer configuration or more recent evidence should be fetched.
+    pub(crate) config_source: Cell<Option<SocketAddr>>,
+    /// Host from which the whole instance list should be fetched.
+    pub(crate) listing_source: Cell<Option<SocketAddr>>,
+    /// Hub that this host reports to, or this host itself.
+    pub(crate) hub: Cell<Option<SocketAddr>>,
+    /// When this host first chose a hub.
+    pub(crate) hub_known_since: Cell<Option<ClockTime>>,
+    /// When the hub of this host last answered.
+    pub(crate) hub_answered_at: Cell<Option<ClockTime>>,
+    /// When the last request of a caller arrived.
+    pub(crate) last_request_at: Cell<Option<ClockTime>>,
+    /// Start of the process.
+    pub(crate) started_at: ClockTime,
     /// Whether the host is stopping.
     pub(crate) stopping: Cell<bool>,
     /// Number of requests in progress.
@@ -124,6 +157,7 @@
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
             data_centre: settings.data_centre.clone(),
+            capacity: settings.capacity(),
             incarnation: rand::random(),
         };
         EdgeContext {
@@ -143,7 +177,15 @@
             hub_rejection: Cell::new(None),
             knows_hosts: Cell::new(false),
             roster_read_requested: Cell::new(true),
-            hub_config_version: Cell::new(0),
+            newest_config_version: Cell::new(0),
+            newer_version_since: Cell::new(None),
+            config_source: Cell::new(None),
+            listing_source: Cell::new(None),
+            hub: Cell::new(None),
+            hub_known_since: Cell::new(None),
+            hub_answered_at: Cell::new(None),
+            last_request_at: Cell::new(None),
+            started_at: ClockTime::now(),
             stopping: Cell::new(false),
             in_progress: Cell::new(0),
             upstreams: UpstreamPool::new(Some(settings.caller_address.ip())),
@@ -180,6 +222,12 @@
         self.listing_synced_at.get().map(|at| now.since(at))
     }
 
+    /// Whether the instance list is so old that some host must read it.
+    pub(crate) fn is_listing_stale(&self, now: ClockTime) -> bool {
+        let age = self.listing_age(now);
+        age.is_none_or(|age| age > STALE_LISTING_MS)
+    }
+
     /// Records that this host knows every change of the instance list before `at`.
     pub(crate) fn record_listing_sync(&self, at: ClockTime) {
         self.listing_synced_at
@@ -204,6 +252,45 @@
         is_recent && can_serve && !self.stopping.get()
     }
 
+    /// Records that the host at `peer_address` has the configuration `version`.
+    pub(crate) fn record_peer_version(
+        &self,
+        peer_address: SocketAddr,
+        version: u64,
+        now: ClockTime,
+    ) {
+        if version > self.config_version() {
+            self.config_source.set(Some(peer_address));
+        }
+        if version > self.newest_config_version.get() {
+            self.newest_config_version.set(version);
+            self.newer_version_since.set(Some(now));
+        }
+    }
+
+    /// How many hosts share the outcome of a read of the store by this one.
+    pub(crate) fn read_sharing(&self, now: ClockTime) -> ReadSharing {
+        let is_recent =
+            |at: Option<ClockTime>, millis| at.is_some_and(|at| now.since(at) <= millis);
+        if is_recent(self.hub_answered_at.get(), HUB_ANSWER_VALID_MS) {
+            let roster = self.roster.borrow();
+            return ReadSharing::Hub(roster.hosts_in(&self.own_host.data_centre).count());
+        }
+        if is_recent(self.last_request_at.get(), REQUEST_RECENT_MS) {
+            ReadSharing::Alone
+        } else {
+            ReadSharing::AloneAndIdle
+        }
+    }
+
+    /// Whether the process started so recently that its hub may still tell it what it needs.
+    pub(crate) fn awaits_hub(&self, now: ClockTime) -> bool {
+        match self.hub_known_since.get() {
+            Some(at) => now.since(at) <= AWAIT_HUB_MS,
+            None => now.since(self.started_at) <= AWAIT_ROSTER_MS,
+        }
+    }
+
     /// Whether this host knows the other hosts and the limits, as a hub must.
     pub(crate) fn can_be_hub(&self) -> bool {
         self.knows_hosts.get() && self.config.borrow().is_some()
--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -37,6 +37,8 @@
 use crate::edge_settings::EdgeSettings;
 use crate::graceful_stop::stop_gracefully;
 use crate::listing_reader::follow_listing;
+use crate::peer_fetch::fetch_from_peers;
+use crate::peer_server::handle_peer_request;
 use crate::peer_tasks::PeerTasks;
 use crate::request_handler::handle_request;
 use crate::roster_sync::sync_roster;
@@ -90,6 +92,7 @@
     let ready = listen_on(settings.readiness_address).await?;
     let directory = listen_on(settings.directory_address).await?;
     let metrics = listen_on(settings.metrics_address).await?;
+    let peers = listen_on(settings.peer_address).await?;
     let socket = UdpSocket::bind(settings.peer_address)
         .await
         .map_err(EdgeError::Datagrams)?;
@@ -101,6 +104,14 @@
     let peer_tasks = PeerTasks::new(Rc::clone(&context), socket);
     spawn(Rc::clone(&peer_tasks).run_receiver());
     spawn(peer_tasks.run_sender());
+    spawn(fetch_from_peers(Rc::clone(&context)));
+    let shared = Rc::clone(&context);
+    spawn(serve_http(
+        peers,
+        Default::default(),
+        MAX_AUXILIARY_CONNECTIONS,
+        move |_, request| handle_peer_request(Rc::clone(&shared), request),
+    ));
     spawn(follow_config(Rc::clone(&context)));
     spawn(follow_listing(Rc::clone(&context)));
     spawn(sync_roster(Rc::clone(&context)));
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -19,10 +19,13 @@
 const ALLOWED_SECONDS: &str = "seconds, a number from 0.1 to 3600";
 const ALLOWED_RATIO: &str = "a number from 0 to 10";
 const ALLOWED_COUNT: &str = "a number from 0 to 1000000";
+const ALLOWED_FLAG: &str = "true or false";
+const ALLOWED_CORES: &str = "cores, a number from 0.01 to 1000";
+const ALLOWED_MBPS: &str = "Mbit/s, a number from 0.1 to 1000000";
 const ALLOWED_LEVELS: &str = "error, warning, info or debug";
 
 /// Every setting: section, name, default value, allowed values.
-pub const DECLARED_SETTINGS: [DeclaredSetting; 15] = [
+pub const DECLARED_SETTINGS: [DeclaredSetting; 18] = [
     ("host", "name", None, ALLOWED_NAME),
     ("host", "data-centre", None, ALLOWED_NAME),
     ("host", "callers", None, ALLOWED_ADDRESS),
@@ -30,6 +33,9 @@
     ("host", "directory", None, ALLOWED_ADDRESS),
     ("host", "peers", None, ALLOWED_ADDRESS),
     ("host", "metrics", None, ALLOWED_ADDRESS),
+    ("host", "cores", Some("1"), ALLOWED_CORES),
+    ("host", "link-mbps", Some("1000"), ALLOWED_MBPS),
+    ("host", "first-start", Some("false"), ALLOWED_FLAG),
     ("store", "address", None, ALLOWED_ADDRESS),
     ("bounds", "revoke-ms", Some("5000"), ALLOWED_MILLIS),
     ("bounds", "retry-ratio", Some("0.2"), ALLOWED_RATIO),
@@ -57,6 +63,12 @@
     pub peer_address: SocketAddr,
     /// Address on which metrics are served.
     pub metrics_address: SocketAddr,
+    /// Cores that the host may use.
+    pub cores: f64,
+    /// Bandwidth of the host's link in Mbit/s.
+    pub link_mbps: f64,
+    /// Whether the whole fleet starts for the first time, so that no host is registered yet.
+    pub is_first_start: bool,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
     /// Milliseconds after which a revoked key must be refused on every host.
@@ -82,6 +94,11 @@
         EdgeSettings::from_ini(&ini)
     }
 
+    /// Processor and network together, by which hosts are ordered as hubs.
+    pub(crate) fn capacity(&self) -> u32 {
+        (self.cores * self.link_mbps).ceil() as u32
+    }
+
     /// Checks every value of `ini`; returns every error.
     pub fn from_ini(ini: &Ini) -> Result<Self, Vec<SettingsError>> {
         let mut reader = SettingReader::new(ini, &DECLARED_SETTINGS);
@@ -100,6 +117,11 @@
         let directory_address = reader.parse("host", "directory");
         let peer_address = reader.parse("host", "peers");
         let metrics_address = reader.parse("host", "metrics");
+        let cores = reader.parse_with("host", "cores", |text| parse_number(text, 0.01, 1_000.0));
+        let link_mbps = reader.parse_with("host", "link-mbps", |text| {
+            parse_number(text, 0.1, 1_000_000.0)
+        });
+        let is_first_start = reader.parse("host", "first-start");
         let store_address = reader.parse("store", "address");
         let revoke_ms = reader.parse_with("bounds", "revoke-ms", |text| {
             parse_in_range(text, 100, 86_400_000)
@@ -124,6 +146,9 @@
             directory_address: directory_address?,
             peer_address: peer_address?,
             metrics_address: metrics_address?,
+            cores: cores?,
+            link_mbps: link_mbps?,
+            is_first_start: is_first_start?,
             store_address: store_address?,
             revoke_ms: revoke_ms?,
             retry_ratio: retry_ratio?,
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -25,6 +25,7 @@
 use crate::peer_message::HubAnswer;
 use crate::peer_message::HubSummary;
 use crate::peer_message::WireEstimate;
+use crate::peer_message::WireHub;
 use crate::peer_message::WireListing;
 
 /// Maximum number of instance entries in one answer; 30 entries of about 100 bytes are
@@ -34,9 +35,13 @@
 /// Maximum number of trial requests to suspected instances that one answer assigns to a host.
 const MAX_TRIALS_PER_ANSWER: usize = 2;
 
-/// Age in milliseconds of the instance list above which a host reads the store itself; two read
-/// intervals of a hub.
-pub(crate) const STALE_LISTING_MS: u64 = 1_000;
+/// Maximum number of changed entries that are relayed in answers. A host that misses more fetches
+/// the whole list.
+const MAX_RELAYED_ENTRIES: usize = 120;
+
+/// Milliseconds by which a reporter's knowledge must be more recent than the hub's for the hub to
+/// fetch it.
+const MIN_FRESHER_MS: u64 = 600;
 
 /// Maximum milliseconds by which a hub's instance list is older than this host's own without
 /// another hub being chosen. A slow store delays both lists.
@@ -65,6 +70,9 @@
             .accepts_callers(now)
             .then_some(context.own_host.caller_address),
         listing_offset: table.next_offset(),
+        listing_age: context.listing_age(now),
+        config_version: context.config_version(),
+        evidence_age: context.evidence.borrow().age(now),
         fleet_hash: context.advertised_hosts.borrow().hash,
         uses: counts.map(|counts| (&counts).into()).collect(),
         in_flight: table.in_flight(),
@@ -81,6 +89,9 @@
     report: &HostReport,
     now: ClockTime,
 ) {
+    if peer_address != context.own_host.peer_address {
+        find_fresher_reporter(context, peer_address, report, now);
+    }
     let workspace_counts: Vec<WorkspaceCounts> = report.uses.iter().map(Into::into).collect();
     let reporter = ReporterId {
         peer_address,
@@ -108,6 +119,28 @@
     }
 }
 
+/// Remembers a reporter that knows the configuration or the instance list better than this host,
+/// as when the store turns this host away.
+fn find_fresher_reporter(
+    context: &EdgeContext,
+    peer_address: SocketAddr,
+    report: &HostReport,
+    now: ClockTime,
+) {
+    let is_fresher = |reported: Option<u64>, own: Option<u64>| {
+        reported.is_some_and(|age| own.is_none_or(|own| age + MIN_FRESHER_MS < own))
+    };
+    context.record_peer_version(peer_address, report.config_version, now);
+    let has_same_version = report.config_version == context.config_version();
+    let own_evidence_age = context.evidence.borrow().age(now);
+    if has_same_version && is_fresher(report.evidence_age, own_evidence_age) {
+        context.config_source.set(Some(peer_address));
+    }
+    if is_fresher(report.listing_age, context.listing_age(now)) {
+        context.listing_source.set(Some(peer_address));
+    }
+}
+
 /// Answer to `report`. Trial requests are assigned only by a hub, and only to a host that accepts
 /// callers.
 pub(crate) fn new_answer(context: &EdgeContext, report: &HostReport, now: ClockTime) -> HubAnswer {
@@ -120,15 +153,21 @@
         Vec::new()
     };
     let table = context.instances.borrow();
-    let changed = table.changed_since(report.listing_offset);
+    let mut changed = table.changed_since(report.listing_offset);
+    let needs_full_list =
+        changed.len() > MAX_RELAYED_ENTRIES || !table.knows_changes_since(report.listing_offset);
+    if needs_full_list {
+        changed.clear();
+    }
     let rows: Vec<WireListing> = changed
         .iter()
         .take(MAX_ENTRIES_PER_ANSWER)
         .map(|state| WireListing::new(state, now))
         .collect();
-    let is_complete = changed.len() <= rows.len();
+    let is_complete = !needs_full_list && changed.len() <= rows.len();
     // The rows are in the order of their offsets: the last one sent is the newest.
     let listing_offset = match rows.last() {
+        _ if needs_full_list => report.listing_offset,
         Some(last) if !is_complete => last.changed_at,
         _ => table.next_offset(),
     };
@@ -152,12 +191,14 @@
     HubAnswer {
         number: report.number,
         is_follower: !context.is_hub.get(),
+        hub: own_hub(context),
         is_leaving: context.stopping.get(),
         config_version: context.config_version(),
         evidence_age: context.evidence.borrow().age(now),
         rows,
         listing_offset,
         listing_age: context.listing_age(now).filter(|_| is_complete),
+        needs_full_list: needs_full_list && context.listing_synced_at.get().is_some(),
         shares: shares.map(|shares| {
             let in_thousandths = |(workspace, share)| (workspace, (share * THOUSANDTHS) as u16);
             shares.into_iter().map(in_thousandths).collect()
@@ -169,6 +210,14 @@
     }
 }
 
+/// Hub of this host, unless it is this host itself.
+fn own_hub(context: &EdgeContext) -> Option<WireHub> {
+    let hub = context.hub.get().filter(|_| !context.is_hub.get())?;
+    let roster = context.roster.borrow();
+    let (offset, registration) = roster.find(hub)?;
+    Some(WireHub::new(*offset, registration))
+}
+
 /// Requests in flight at `instance`, at most 65 535, the largest value of the field.
 fn capped_count(counts: &HashMap<u32, u32>, instance: u32) -> u16 {
     let count = counts.get(&instance).copied().unwrap_or_default();
@@ -181,6 +230,7 @@
 /// written.
 pub(crate) fn apply_answer(
     context: &EdgeContext,
+    hub: SocketAddr,
     mut answer: HubAnswer,
     report_sent_at: ClockTime,
     now: ClockTime,
@@ -196,8 +246,11 @@
             .borrow_mut()
             .record_peer_evidence(report_sent_at, age);
     }
-    let newest = context.hub_config_version.get().max(answer.config_version);
-    context.hub_config_version.set(newest);
+    context.hub_answered_at.set(Some(now));
+    context.record_peer_version(hub, answer.config_version, now);
+    if answer.needs_full_list {
+        context.listing_source.set(Some(hub));
+    }
     let mut table = context.instances.borrow_mut();
     for entry in std::mem::take(&mut answer.rows) {
         let offset = entry.changed_at;
@@ -219,9 +272,12 @@
         context.record_listing_sync(synced_at);
     }
     if answer.is_follower {
-        // The answering host does not act as hub. It may know a host with a lower address, whose
+        // The answering host does not act as hub. It may know a host that comes before it, whose
         // registration this host has not read yet.
-        context.roster_read_requested.set(true);
+        match answer.hub.take() {
+            Some(hub) => hub.apply(&mut context.roster.borrow_mut()),
+            None => context.roster_read_requested.set(true),
+        }
     }
     if answer.is_leaving {
         context.hub_rejection.set(Some(HubRejection::Stopping));
--- a/crates/edge/src/listing_reader.rs
+++ b/crates/edge/src/listing_reader.rs
@@ -1,7 +1,8 @@
 //! Follows the list of instances in the store.
 //!
 //! The hub of a data centre reads the list and sends the changes to its hosts.
-//! A host that gets no answer from a hub reads the list itself.
+//! If its list gets old, some of its hosts read the list and the hub fetches it
+//! from them. A host that gets no answer from a hub reads the list itself.
 
 use std::time::Duration;
 
@@ -16,11 +17,11 @@
 use crocushoist_platform::StoreTopic;
 use crocushoist_platform::decode_instance;
 use crocushoist_policy::ListingChange;
+use crocushoist_policy::StoreReadPacer;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::EdgeContext;
 use crate::edge_context::SharedContext;
-use crate::hub_exchange::STALE_LISTING_MS;
 
 /// Milliseconds between reads. An instance may get new requests for two seconds after it starts
 /// to leave; a read and an exchange with the hub must fit in that time.
@@ -43,11 +44,16 @@
     let mut client = context.store_client(READ_TIMEOUT_MS);
     let mut has_full_list = false;
     let mut failures = 0u32;
+    let mut pacer = StoreReadPacer::default();
     // Until then, entries that disappear count as lapsed, not as removed.
     let mut lapse_until: Option<ClockTime> = None;
     loop {
-        if has_full_list && !should_read(&context) {
-            failures = 0;
+        if !should_read(&context, &pacer) {
+            // A list from a hub is complete too.
+            has_full_list |= context.listing_synced_at.get().is_some();
+            if !context.is_listing_stale(ClockTime::now()) {
+                failures = 0;
+            }
             sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
             continue;
         }
@@ -64,6 +70,7 @@
             let full = read_full(&context, &mut client, lapse_until_now).await;
             full.map(|()| true)
         };
+        pacer.record_read(read.is_ok(), requested_at);
         match read {
             Ok(is_complete) => {
                 context.metrics.count_store_call("ok");
@@ -94,10 +101,15 @@
     }
 }
 
-/// Whether this host must read the list itself.
-fn should_read(context: &EdgeContext) -> bool {
-    let age = context.listing_age(ClockTime::now());
-    context.is_hub.get() || age.is_none_or(|age| age > STALE_LISTING_MS)
+/// Whether this host reads the list now.
+fn should_read(context: &EdgeContext, pacer: &StoreReadPacer) -> bool {
+    let now = ClockTime::now();
+    if context.is_hub.get() {
+        return true;
+    }
+    let awaits_hub = context.listing_synced_at.get().is_none() && context.awaits_hub(now);
+    let is_due = pacer.is_due(context.read_sharing(now), rand::random(), now);
+    context.is_listing_stale(now) && !awaits_hub && is_due
 }
 
 /// Reads the whole list; instances that it does not contain are removed.
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -18,6 +18,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crocushoist_policy::HostRegistration;
+use crocushoist_policy::HostRoster;
 use crocushoist_policy::InstanceListing;
 use crocushoist_policy::InstanceState;
 use crocushoist_policy::OutcomeCounts;
@@ -51,6 +53,12 @@
     pub(crate) callers: Option<SocketAddr>,
     /// Offset up to which the host knows the instance list.
     pub(crate) listing_offset: u64,
+    /// Milliseconds since the host knew every change of the instance list.
+    pub(crate) listing_age: Option<u64>,
+    /// Version of the host's configuration.
+    pub(crate) config_version: u64,
+    /// Milliseconds since the host knew that it had not missed a configuration.
+    pub(crate) evidence_age: Option<u64>,
     /// Hash of the hosts that its address lookups return.
     pub(crate) fleet_hash: u32,
     /// Requests of each workspace since the start of the host.
@@ -72,6 +80,8 @@
     pub(crate) number: u32,
     /// Whether the answering host does not act as hub.
     pub(crate) is_follower: bool,
+    /// Hub of the answering host, if it is another host.
+    pub(crate) hub: Option<WireHub>,
     /// Whether the answering host is stopping.
     pub(crate) is_leaving: bool,
     /// Version of the hub's configuration.
@@ -85,6 +95,9 @@
     /// Milliseconds since the hub knew every change of the instance list, `None` if `rows` leaves
     /// some out.
     pub(crate) listing_age: Option<u64>,
+    /// Whether the reporter must fetch the whole list, because the hub does not know or relay all
+    /// changes since the reporter's offset.
+    pub(crate) needs_full_list: bool,
     /// Shares below 1000 thousandths by the hash of the workspace's name, `None` while the hub is
     /// warming up.
     pub(crate) shares: Option<Vec<(u32, u16)>>,
@@ -122,6 +135,43 @@
     pub(crate) in_flight: Vec<(u32, u32)>,
 }
 
+/// Registration of a host and its offset in the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireHub {
+    offset: u64,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    data_centre: CompactString,
+    capacity: u32,
+    incarnation: u64,
+}
+
+impl WireHub {
+    /// The host registered as `registration` at `offset`.
+    pub(crate) fn new(offset: u64, registration: &HostRegistration) -> Self {
+        WireHub {
+            offset,
+            callers: registration.caller_address,
+            peers: registration.peer_address,
+            data_centre: registration.data_centre.clone(),
+            capacity: registration.capacity,
+            incarnation: registration.incarnation,
+        }
+    }
+
+    /// Adds the host to `roster`.
+    pub(crate) fn apply(self, roster: &mut HostRoster) {
+        let registration = HostRegistration {
+            caller_address: self.callers,
+            peer_address: self.peers,
+            data_centre: self.data_centre,
+            capacity: self.capacity,
+            incarnation: self.incarnation,
+        };
+        roster.apply_registration(self.offset, registration);
+    }
+}
+
 /// Hash of a workspace's name, its admitted and refused requests, and its requests in the current
 /// window if known.
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -95,8 +95,8 @@
                         self.publish_totals(round, now).await;
                     }
                 }
-                Some(_) => self.act_as_hub(round, now).await,
-                None => {}
+                Some(_) if self.context.can_be_hub() => self.act_as_hub(round, now).await,
+                _ => {}
             }
             round += 1;
             sleep(Duration::from_millis(REPORT_INTERVAL_MS)).await;
@@ -128,13 +128,13 @@
         }
     }
 
-    /// Hub of this data centre, `None` while this host has no configuration, has read no
-    /// registrations or finds no host that can be hub.
+    /// Hub of this data centre, `None` while this host has read no registrations or finds no host
+    /// that can be hub.
     ///
     /// If the current hub is silent or was rejected, this host stops using it and chooses another
     /// one.
     fn select_hub(&self, now: ClockTime) -> Option<SocketAddr> {
-        if !self.context.can_be_hub() {
+        if !self.context.knows_hosts.get() {
             return None;
         }
         let mut roster = self.context.roster.borrow_mut();
@@ -151,13 +151,14 @@
             } else {
                 roster.suspect(hub, now);
             }
-            self.context.roster_read_requested.set(true);
             reports.unanswered_since = None;
             // From here on this host does not use the hub that it had chosen.
             info!(self.context.logger, "hub passed over"; "hub" => hub.to_string(),
                 "cause" => rejection.map_or("silent", HubRejection::name));
         }
-        if self.context.stopping.get() {
+        // Without a configuration after a while, this host does not reach the store. Another one may.
+        let lacks_config = !self.context.can_be_hub() && !self.context.awaits_hub(now);
+        if self.context.stopping.get() || lacks_config {
             roster.mark_unfit(self.context.own_host.peer_address, now);
         }
         let hub = roster
@@ -172,6 +173,12 @@
                 ..SentReports::default()
             };
         }
+        if hub.is_none() {
+            self.context.roster_read_requested.set(true);
+        } else if self.context.hub_known_since.get().is_none() {
+            self.context.hub_known_since.set(Some(now));
+        }
+        self.context.hub.set(hub);
         self.context
             .is_hub
             .set(hub == Some(self.context.own_host.peer_address));
@@ -300,7 +307,7 @@
             }
             PeerMessage::Answer(answer) => {
                 if let Some(sent_at) = self.match_answer(peer, answer.number) {
-                    apply_answer(&self.context, answer, sent_at, now);
+                    apply_answer(&self.context, peer, answer, sent_at, now);
                 }
             }
             PeerMessage::Summary(summary) => apply_summary(&self.context, peer, summary, now),
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -78,6 +78,7 @@
     context.in_progress.set(context.in_progress.get() + 1);
     let _guard = InProgressGuard(Rc::clone(&context));
     let arrived_at = Instant::now();
+    context.last_request_at.set(Some(ClockTime::now()));
     let mut record = RequestRecord::default();
     record.id = header_text(request.headers(), names::ATTEMPT_ID_HEADER).into();
     record.config_version = context.config_version();
--- a/crates/edge/src/roster_sync.rs
+++ b/crates/edge/src/roster_sync.rs
@@ -1,10 +1,10 @@
 //! Registers this host in the store and reads the registrations of the others.
 //!
-//! A host reads the registrations at its start, and again when it drops its hub
-//! or the host that answers its reports does not act as hub. A hub reads them
-//! regularly, so that it leaves the role to a host with a lower address that
-//! registers later. The near-full window records are in the same topic and are
-//! read with the registrations.
+//! A host reads the registrations at its start, and registers unless an earlier
+//! start did. It reads them again when it knows no host that can be hub. A hub
+//! reads them regularly, so that it leaves the role to a host that comes before
+//! it and registers later, and tells its hosts. The near-full window records are
+//! in the same topic and are read with the registrations.
 
 use std::time::Duration;
 use std::time::SystemTime;
@@ -35,24 +35,36 @@
 /// Milliseconds between reads by a hub.
 const HUB_READ_INTERVAL_MS: u64 = 3_000;
 
-/// Milliseconds between attempts to register, and to read at the start.
-const STARTUP_RETRY_MS: u64 = 400;
+/// Milliseconds between attempts to register, and to read at the start: the first interval, which
+/// doubles up to the maximum.
+const MIN_STARTUP_RETRY_MS: u64 = 300;
+const MAX_STARTUP_RETRY_MS: u64 = 1_500;
 
 /// Minimum milliseconds between later reads, also after a failure.
 const MIN_READ_INTERVAL_MS: u64 = 2_000;
 
+/// Milliseconds after its own registration that a host of a new fleet waits for the others'.
+const FIRST_START_SETTLE_MS: u64 = 500;
+
 /// Milliseconds after the start within which hosts that start together have registered.
 const STARTUP_SETTLE_MS: u64 = 1_200;
 
 /// Registers this host, then reads the registrations whenever needed until the process ends.
 pub(crate) async fn sync_roster(context: SharedContext) {
     let mut client = context.store_client(STORE_TIMEOUT_MS);
-    // The first read finds the other hosts and the near-full window records, which are needed at
-    // once if all hosts restart together. The second one finds hosts that registered in the
-    // meantime.
-    let mut next_offset = read_with_retries(&context, &mut client, None).await;
-    register(&context, &mut client).await;
-    next_offset = read_with_retries(&context, &mut client, next_offset).await;
+    let mut next_offset = if context.settings.is_first_start {
+        register(&context, &mut client).await;
+        sleep(Duration::from_millis(FIRST_START_SETTLE_MS)).await;
+        read_with_retries(&context, &mut client).await
+    } else {
+        // This read finds the other hosts and the near-full window records, which are needed at
+        // once if all hosts restart together.
+        let next_offset = read_with_retries(&context, &mut client).await;
+        if !is_registered(&context) {
+            register(&context, &mut client).await;
+        }
+        next_offset
+    };
     let mut since_read_ms = HUB_READ_INTERVAL_MS - STARTUP_SETTLE_MS;
     loop {
         let is_due = context.is_hub.get() && since_read_ms >= HUB_READ_INTERVAL_MS;
@@ -80,22 +92,34 @@
 }
 
 /// Reads the registrations and retries until that succeeds. Returns the next offset.
-async fn read_with_retries(
-    context: &EdgeContext,
-    client: &mut StoreClient,
-    from: Option<u64>,
-) -> Option<u64> {
+async fn read_with_retries(context: &EdgeContext, client: &mut StoreClient) -> Option<u64> {
+    let mut retry_ms = MIN_STARTUP_RETRY_MS;
     loop {
-        match read_registrations(context, client, from).await {
+        match read_registrations(context, client, None).await {
             Ok(offset) => return offset,
             Err(error) => {
                 warn!(context.logger, "registrations not read"; "cause" => %error);
-                sleep(Duration::from_millis(STARTUP_RETRY_MS)).await;
+                pause_before_retry(&mut retry_ms).await;
             }
         }
     }
 }
 
+/// Whether an earlier start of this host registered the same addresses and capacity.
+fn is_registered(context: &EdgeContext) -> bool {
+    let roster = context.roster.borrow();
+    let registered = roster.find(context.own_host.peer_address);
+    registered.is_some_and(|(_, host)| context.own_host.is_same_host(host))
+}
+
+/// Waits between half and all of `retry_ms`, so that hosts that failed together do not retry
+/// together, and doubles it.
+async fn pause_before_retry(retry_ms: &mut u64) {
+    let pause_ms = rand::random_range(*retry_ms / 2..=*retry_ms);
+    sleep(Duration::from_millis(pause_ms)).await;
+    *retry_ms = (*retry_ms * 2).min(MAX_STARTUP_RETRY_MS);
+}
+
 /// Writes the registration of this host and retries until that succeeds.
 async fn register(context: &EdgeContext, client: &mut StoreClient) {
     let key = context.own_host.caller_address.to_string();
@@ -106,6 +130,7 @@
             return;
         }
     };
+    let mut retry_ms = MIN_STARTUP_RETRY_MS;
     loop {
         match client.write(StoreTopic::Hosts, &key, Some(&value)).await {
             Ok(offset) => {
@@ -119,7 +144,7 @@
             Err(error) => {
                 context.metrics.count_store_call("failed");
                 warn!(context.logger, "cannot register this host; retrying"; "cause" => %error);
-                sleep(Duration::from_millis(STARTUP_RETRY_MS)).await;
+                pause_before_retry(&mut retry_ms).await;
             }
         }
     }
--- a/crates/policy/src/host_roster.rs
+++ b/crates/policy/src/host_roster.rs
@@ -1,10 +1,11 @@
 //! The hosts of the fleet and the hub of each data centre.
 //!
-//! Hosts are ordered by address, so all hosts that know the same registrations
-//! choose the same hub, also after restarts. The hub of a data centre is its
-//! first host that is neither suspected nor unfit. Hosts may disagree about the
+//! Hosts are ordered by capacity and address, so all hosts that know the same
+//! registrations choose the same hub, also after restarts. The hub of a data
+//! centre is its first host that is neither suspected nor unfit. Hosts may disagree about the
 //! hub for a while; each reports to the host that it considers the hub.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -29,10 +30,23 @@
     pub peer_address: SocketAddr,
     /// Data centre that the host runs in.
     pub data_centre: CompactString,
+    /// Processor and network that the host may use; the hosts with the most are hubs first.
+    pub capacity: u32,
     /// Number that distinguishes restarts of the host.
     pub incarnation: u64,
 }
 
+impl HostRegistration {
+    /// Whether `other` is a start of this host with the same addresses and capacity.
+    pub fn is_same_host(&self, other: &HostRegistration) -> bool {
+        let restarted = HostRegistration {
+            incarnation: self.incarnation,
+            ..other.clone()
+        };
+        *self == restarted
+    }
+}
+
 /// The registered hosts of the fleet and the candidates to skip.
 #[derive(Clone, Debug, Default)]
 pub struct HostRoster {
@@ -85,12 +99,21 @@
             .find(|registration| !self.is_excluded(registration.peer_address, now))
     }
 
-    /// Hosts of `data_centre`, ordered by peer address.
+    /// Hosts of `data_centre` in the order in which they become hub.
     pub fn hosts_in(&self, data_centre: &str) -> impl Iterator<Item = &HostRegistration> {
-        self.registrations
+        let mut hosts: Vec<&HostRegistration> = self
+            .registrations
             .values()
             .map(|(_, registration)| registration)
-            .filter(move |registration| registration.data_centre == data_centre)
+            .filter(|registration| registration.data_centre == data_centre)
+            .collect();
+        hosts.sort_by_key(|registration| Reverse(registration.capacity));
+        hosts.into_iter()
+    }
+
+    /// Registration of the host at `peer_address` and its offset in the store.
+    pub fn find(&self, peer_address: SocketAddr) -> Option<&(u64, HostRegistration)> {
+        self.registrations.get(&peer_address)
     }
 
     /// Data centres that have registered hosts, sorted.
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -67,6 +67,8 @@
     trial_width: TrialWidth,
     /// Number of hosts to which a round offers one required trial.
     required_trial_width: TrialWidth,
+    /// Offset from which on every removal was applied. A full list does not contain earlier ones.
+    removals_known_from: u64,
 }
 
 impl InstanceTable {
@@ -178,9 +180,18 @@
             self.apply_removal(end.saturating_sub(1), id, lapse_until, now);
         }
         self.advance(end);
+        self.removals_known_from = self.removals_known_from.max(end);
         absent
     }
 
+    /// Whether [`Self::changed_since`] returns every change from `offset` on.
+    ///
+    /// A table that was filled from a full list has no entry for an instance that was removed
+    /// before. A host that still lists that instance needs the full list too.
+    pub fn knows_changes_since(&self, offset: u64) -> bool {
+        offset >= self.removals_known_from
+    }
+
     /// Applies an entry that a hub relayed.
     pub fn apply_relayed(
         &mut self,
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -43,6 +43,7 @@
         caller_address: SocketAddr::from(([10, 0, 0, number], 8000)),
         peer_address: SocketAddr::from(([10, 0, 0, number], 7000)),
         data_centre: data_centre.into(),
+        capacity: 1,
         incarnation: 1,
     }
 }
@@ -246,3 +247,36 @@
         None
     );
 }
+
+#[test]
+fn hosts_with_the_most_capacity_are_hubs_first() {
+    let mut roster = HostRoster::default();
+    for (number, capacity) in [(1, 2), (2, 100), (3, 100), (4, 2)] {
+        let host = HostRegistration {
+            capacity,
+            ..registration(number, "north")
+        };
+        roster.apply_registration(u64::from(number), host);
+    }
+    let hub = |roster: &HostRoster, now| roster.hub_of("north", now).map(|host| host.peer_address);
+    assert_eq!(hub(&roster, at(0)), Some(reporter(2).peer_address));
+    roster.suspect(reporter(2).peer_address, at(0));
+    assert_eq!(hub(&roster, at(0)), Some(reporter(3).peer_address));
+    roster.suspect(reporter(3).peer_address, at(0));
+    assert_eq!(hub(&roster, at(0)), Some(reporter(1).peer_address));
+}
+
+#[test]
+fn restart_of_a_registered_host_is_the_same_host() {
+    let before = registration(1, "north");
+    let restarted = HostRegistration {
+        incarnation: 2,
+        ..before.clone()
+    };
+    assert!(restarted.is_same_host(&before));
+    let resized = HostRegistration {
+        capacity: 7,
+        ..restarted.clone()
+    };
+    assert!(!resized.is_same_host(&before));
+}
--- a/crates/policy/tests/instance_entries.rs
+++ b/crates/policy/tests/instance_entries.rs
@@ -43,6 +43,33 @@
     assert!(table.changed_since(1).is_empty());
 }
 
+#[test]
+fn restarted_hub_knows_no_removal_from_before_its_full_list() {
+    let mut host = InstanceTable::default();
+    host.apply_listing(0, entry(1, 1, false), at(0));
+    host.advance(1);
+    // The removal has offset 1. A hub that restarts after it reads a full list without the entry.
+    let mut hub = InstanceTable::default();
+    hub.finish_full_list(2, |_| false, None, at(1_000));
+    assert!(hub.changed_since(host.next_offset()).is_empty());
+    assert!(!hub.knows_changes_since(host.next_offset()));
+    let absent = host.finish_full_list(2, |_| false, None, at(1_100));
+    assert_eq!(absent, ["i-1"]);
+    assert_eq!(host.usable_count(SERVICE, at(1_100)), 0);
+    assert!(hub.knows_changes_since(host.next_offset()));
+}
+
+#[test]
+fn hub_that_read_every_entry_knows_all_removals() {
+    let mut hub = InstanceTable::default();
+    hub.apply_listing(0, entry(1, 1, false), at(0));
+    hub.advance(1);
+    hub.apply_removal(1, "i-1", None, at(10));
+    hub.advance(2);
+    assert!(hub.knows_changes_since(1));
+    assert_eq!(hub.changed_since(1).len(), 1);
+}
+
 #[test]
 fn older_entry_does_not_undo_leaving() {
     let mut table = InstanceTable::default();
--- /dev/null
+++ b/crates/policy/tests/store_herd.rs
@@ -0,0 +1,69 @@
+//! Load pattern: all hosts of a data centre lose their hub's knowledge at once
+//! and would read the store together.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use yare::parameterized;
+
+use crocushoist_policy::ReadSharing;
+use crocushoist_policy::StoreReadPacer;
+use crocushoist_state::ClockTime;
+
+/// Milliseconds between the checks of a host.
+const CHECK_INTERVAL_MS: u64 = 100;
+
+/// Length in milliseconds of the outage that is played.
+const OUTAGE_MS: u64 = 5_000;
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_millis(100_000 + millis)
+}
+
+/// Number of reads that `hosts` hosts start while every read fails.
+fn reads_during_outage(hosts: usize, sharing: impl Fn(usize) -> ReadSharing, seed: u64) -> usize {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut pacers = vec![StoreReadPacer::default(); hosts];
+    let mut reads = 0;
+    for millis in (0..OUTAGE_MS).step_by(CHECK_INTERVAL_MS as usize) {
+        for pacer in &mut pacers {
+            if pacer.is_due(sharing(hosts), random.random(), at(millis)) {
+                pacer.record_read(false, at(millis));
+                reads += 1;
+            }
+        }
+    }
+    reads
+}
+
+#[parameterized(small = { 14 }, large = { 62 }, planned = { 78 })]
+fn reads_of_a_data_centre_do_not_grow_with_its_hosts(hosts: usize) {
+    for seed in 0..20 {
+        let reads = reads_during_outage(hosts, ReadSharing::Hub, seed);
+        // Half a reader at each of the 50 checks, and room for random variation.
+        assert!(reads <= 50, "seed {seed}: {reads} reads by {hosts} hosts");
+    }
+}
+
+#[parameterized(small = { 14 }, large = { 62 })]
+fn some_host_reads_within_a_second(hosts: usize) {
+    let mut late = 0;
+    for seed in 0..200 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let pacer = StoreReadPacer::default();
+        let checks = 10;
+        let is_read = (0..checks * hosts)
+            .any(|_| pacer.is_due(ReadSharing::Hub(hosts), random.random(), at(0)));
+        late += usize::from(!is_read);
+    }
+    // The chance of ten checks without any reader is 0.7%.
+    assert!(late <= 6, "{late} of 200 data centres had no reader");
+}
+
+#[test]
+fn host_that_no_hub_answers_reads_at_once_and_backs_off() {
+    let alone = reads_during_outage(1, |_| ReadSharing::Alone, 1);
+    assert!((3..=6).contains(&alone), "{alone} reads");
+    let idle = reads_during_outage(1, |_| ReadSharing::AloneAndIdle, 1);
+    assert_eq!(idle, 2);
+}
