Share one retry budget among all hosts

Change: hubs limit the retries at a service like the requests of a workspace, with the machinery that is there. Hosts report the retries that they sent and denied, and apply the assigned share, which is one while the window has room. A host without a hub uses its own part, which the pool's use reduces. The pool gives out half of the slack, in windows of 5 s, which leaves the rest of the 10 s window to late reports and hosts without a hub.

--- a/crates/edge/src/config_reader.rs
+++ b/crates/edge/src/config_reader.rs
@@ -22,6 +22,7 @@
 use crocushoist_platform::StoreTopic;
 use crocushoist_platform::decode_config;
 use crocushoist_policy::DeploymentConfig;
+use crocushoist_policy::LimitIndex;
 use crocushoist_policy::StoreReadPacer;
 use crocushoist_state::ClockTime;
 
@@ -198,6 +199,7 @@
         "routes" => config.routes.iter().count(), "workspaces" => config.workspaces.len());
     context.metrics.config_version.set(config.version as i64);
     context.evidence.borrow_mut().clear_peer_evidence();
+    *context.limit_index.borrow_mut() = LimitIndex::new(&config);
     *context.config.borrow_mut() = Some(Rc::new(config));
 }
 
--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -12,16 +12,20 @@
 use crocushoist_platform::StoreClient;
 use crocushoist_policy::ConfigEvidence;
 use crocushoist_policy::DeploymentConfig;
+use crocushoist_policy::FleetLimit;
 use crocushoist_policy::HostRegistration;
 use crocushoist_policy::HostRoster;
 use crocushoist_policy::HubAggregator;
 use crocushoist_policy::InstanceTable;
+use crocushoist_policy::LimitIndex;
 use crocushoist_policy::ReadSharing;
 use crocushoist_policy::RetryBudget;
 use crocushoist_policy::WindowLimit;
 use crocushoist_policy::WorkspaceGate;
 use crocushoist_policy::WorkspaceSpec;
 use crocushoist_policy::name_hash;
+use crocushoist_policy::retry_pool_key;
+use crocushoist_policy::retry_pool_limit;
 use crocushoist_state::ClockTime;
 use crocushoist_transport::StopSignal;
 use crocushoist_transport::UpstreamPool;
@@ -86,6 +90,8 @@
     pub(crate) own_host: HostRegistration,
     /// Configuration in force.
     pub(crate) config: RefCell<Option<Rc<DeploymentConfig>>>,
+    /// Limits of the configuration in force.
+    pub(crate) limit_index: RefCell<LimitIndex>,
     /// Evidence that this host has not missed a configuration.
     pub(crate) evidence: RefCell<ConfigEvidence>,
     /// Instances of all services.
@@ -163,6 +169,7 @@
         EdgeContext {
             own_host,
             config: RefCell::default(),
+            limit_index: RefCell::default(),
             evidence: RefCell::default(),
             instances: RefCell::default(),
             listing_synced_at: Cell::new(None),
@@ -317,14 +324,31 @@
         aggregator.near_full_records.initial_share(hash, now)
     }
 
-    /// Limit of the workspace whose name has `hash`.
-    pub(crate) fn limit_of_hash(&self, hash: u32) -> Option<WindowLimit> {
-        let config = self.config.borrow();
-        let workspaces = &config.as_ref()?.workspaces;
-        let workspace = workspaces
-            .iter()
-            .find(|workspace| name_hash(&workspace.name) == hash)?;
-        Some(self.limit_of(workspace))
+    /// Limit with the key `key`, of a workspace or of the retries at a service.
+    pub(crate) fn limit_of_key(&self, key: u32, now: ClockTime) -> Option<WindowLimit> {
+        let index = self.limit_index.borrow();
+        match index.find(key)? {
+            FleetLimit::Workspace(index) => {
+                let config = self.config.borrow();
+                Some(self.limit_of(config.as_ref()?.workspaces.get(*index)?))
+            }
+            FleetLimit::Retries(service) => {
+                let table = self.instances.borrow();
+                let requests_per_s = table.requests_per_s(name_hash(service), now);
+                let settings = &self.settings;
+                let (ratio, slack) = (settings.retry_ratio, settings.retry_slack);
+                Some(retry_pool_limit(ratio, slack, requests_per_s))
+            }
+        }
+    }
+
+    /// Share of the retries at `service` that this host may send, `None` without a hub.
+    pub(crate) fn retry_share(&self, service: &str, now: ClockTime) -> Option<f64> {
+        let shares = self.assigned_shares.borrow();
+        let received_at = shares.received_at?;
+        let key = retry_pool_key(service);
+        let is_valid = now.since(received_at) <= SHARES_VALID_MS;
+        is_valid.then(|| shares.below_one.get(&key).copied().unwrap_or(1.0))
     }
 
     /// Limit of `workspace`.
@@ -333,6 +357,7 @@
             rate: workspace.rate_per_s,
             burst: workspace.burst,
             slack: self.settings.limit_slack,
+            is_recorded: true,
         }
     }
 }
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -55,12 +55,17 @@
 /// Resets the outcome counters, so that each report has the outcomes since the last one.
 pub(crate) fn new_report(context: &EdgeContext, number: u32, now: ClockTime) -> HostReport {
     let gates = context.workspace_gates.borrow();
-    let counts = gates.iter().map(|(name, gate)| WorkspaceCounts {
+    let workspaces = gates.iter().map(|(name, gate)| WorkspaceCounts {
         workspace: name_hash(name),
         admitted: gate.admitted,
         refused: gate.refused,
         in_window: None,
     });
+    let budgets = context.retry_budgets.borrow();
+    let retries = budgets
+        .iter()
+        .map(|(service, budget)| budget.counts(service));
+    let counts = workspaces.chain(retries);
     let mut table = context.instances.borrow_mut();
     HostReport {
         number,
@@ -101,7 +106,7 @@
     let mut aggregator = context.aggregator.borrow_mut();
     aggregator.apply_report(reporter, report.callers, &workspace_counts, now);
     aggregator.set_host_load(peer_address, report.in_flight.clone());
-    aggregator.update_limiters(|hash| context.limit_of_hash(hash), now);
+    aggregator.update_limiters(|key| context.limit_of_key(key, now), now);
     let mut table = context.instances.borrow_mut();
     for wire in &report.services {
         aggregator.add_service_counts(wire.into());
@@ -186,7 +191,7 @@
     let shares = context
         .aggregator
         .borrow()
-        .shares(|hash| context.limit_of_hash(hash), now);
+        .shares(|key| context.limit_of_key(key, now), now);
     let advertised_hosts = context.advertised_hosts.borrow();
     HubAnswer {
         number: report.number,
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -225,7 +225,7 @@
             let registered = context.roster.borrow().len();
             let mut aggregator = context.aggregator.borrow_mut();
             aggregator.update_coverage(registered, now);
-            aggregator.update_limiters(|hash| context.limit_of_hash(hash), now);
+            aggregator.update_limiters(|key| context.limit_of_key(key, now), now);
             aggregator.remove_silent(PEER_EXPIRY_MS, now);
         }
         if round.is_multiple_of(ROUNDS_PER_SUMMARY) {
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -17,7 +17,6 @@
 use futures_util::future::select;
 
 use crocushoist_policy::InstanceKey;
-use crocushoist_policy::RetryBudget;
 use crocushoist_policy::RetrySafety;
 use crocushoist_state::ClockTime;
 
@@ -327,21 +326,21 @@
         Err(EdgeRefusal::with_retry_after(reason, retry_after_ms))
     }
 
-    /// Whether this host's retry budget for the service has a retry left; a missing one has none.
+    /// Whether the retry budget of the service probably has a retry left; a missing one has none.
     fn has_retry_budget(&self) -> bool {
+        let share = self.context.retry_share(&self.service, ClockTime::now());
         let budgets = self.context.retry_budgets.borrow();
         let budget = budgets.get(&self.service);
-        budget.is_some_and(RetryBudget::has_balance)
+        budget.is_some_and(|budget| budget.is_affordable(share))
     }
 
-    /// Takes one retry from this host's budget for the service; returns false if it has none left.
-    /// A missing budget is created with less than one retry.
+    /// Takes one retry from the budget of the service; returns false if it has none left. A missing
+    /// budget is created with less than one retry.
     fn try_withdraw_retry(&self) -> bool {
+        let share = self.context.retry_share(&self.service, ClockTime::now());
         let mut budgets = self.context.retry_budgets.borrow_mut();
-        budgets
-            .entry(self.service.clone())
-            .or_default()
-            .try_withdraw()
+        let budget = budgets.entry(self.service.clone()).or_default();
+        budget.try_withdraw(share, rand::random())
     }
 }
 
--- a/crates/policy/src/hub_aggregator.rs
+++ b/crates/policy/src/hub_aggregator.rs
@@ -298,7 +298,8 @@
                 self.limiters.entry(workspace).or_insert_with(|| {
                     let initial_use = match self.remote_windows.get(&workspace) {
                         Some(count) => InitialUse::Counted(*count),
-                        None if covers_window => InitialUse::Counted(0),
+                        // Two windows of an unrecorded limit fit in the platform's.
+                        None if covers_window || !limit.is_recorded => InitialUse::Counted(0),
                         None => self.near_full_records.initial_use(workspace, now),
                     };
                     WindowLimiter::new(limit, initial_use, now)
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -30,7 +30,7 @@
 use crate::instance_selector::SUSPECT_PROBABILITY;
 use crate::instance_selector::prefer_past_backoff;
 use crate::name_hash;
-use crate::service_counts::UnservedShare;
+use crate::service_counts::ServiceLoad;
 use crate::trial_round::TrialKind;
 use crate::trial_width::TrialWidth;
 
@@ -62,7 +62,7 @@
     /// Requests of this host since the last report, by the hash of the service's name.
     service_counts: HashMap<u32, ServiceCounts>,
     /// At the hub: requests of the fleet, likewise.
-    unserved_shares: HashMap<u32, UnservedShare>,
+    service_loads: HashMap<u32, ServiceLoad>,
     /// Number of hosts to which a round offers one trial.
     trial_width: TrialWidth,
     /// Number of hosts to which a round offers one required trial.
@@ -335,8 +335,8 @@
     fn endangered_services(&self, now: ClockTime) -> Vec<CompactString> {
         let mut services = Vec::new();
         for service in self.index.services() {
-            let share = self.unserved_shares.get(&name_hash(service));
-            if share.map_or(0.0, UnservedShare::fraction) < REQUIRED_TRIAL_SHARE {
+            let share = self.service_loads.get(&name_hash(service));
+            if share.map_or(0.0, ServiceLoad::unserved_share) < REQUIRED_TRIAL_SHARE {
                 continue;
             }
             let members = self.usable_members(service, now);
@@ -378,10 +378,16 @@
 
     /// At the hub: adds requests that a host or another hub reported.
     pub fn add_service_counts(&mut self, counts: ServiceCounts, now: ClockTime) {
-        let share = self.unserved_shares.entry(counts.service).or_default();
+        let share = self.service_loads.entry(counts.service).or_default();
         share.add(counts, now);
     }
 
+    /// At the hub: requests a second of the service whose name has the hash `service`.
+    pub fn requests_per_s(&self, service: u32, now: ClockTime) -> f64 {
+        let load = self.service_loads.get(&service);
+        load.map_or(0.0, |load| load.requests_per_s(now))
+    }
+
     /// Accepts a trial that the hub offered to this host.
     pub fn apply_trial(&mut self, offer: TrialOffer, now: ClockTime) {
         if let Some(key) = self.find_hash(offer.instance) {
--- a/crates/policy/src/service_counts.rs
+++ b/crates/policy/src/service_counts.rs
@@ -2,6 +2,8 @@
 
 use crocushoist_state::ClockTime;
 
+use crate::retry_pool::ServiceDemand;
+
 /// Time constant in milliseconds with which requests lose weight.
 const AVERAGE_MS: f64 = 1_500.0;
 
@@ -16,25 +18,33 @@
     pub unserved: u32,
 }
 
-/// Requests of one service over the fleet, weighted by their age.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct UnservedShare {
+/// Requests of one service over the fleet.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServiceLoad {
+    /// Requests and those not served, weighted by their age.
     requests: f64,
     unserved: f64,
     updated_at: ClockTime,
+    demand: ServiceDemand,
 }
 
-impl UnservedShare {
+impl ServiceLoad {
     /// Adds reported requests.
     pub(crate) fn add(&mut self, counts: ServiceCounts, now: ClockTime) {
         let decay = (-(now.since(self.updated_at) as f64) / AVERAGE_MS).exp();
         self.updated_at = self.updated_at.max(now);
         self.requests = self.requests * decay + f64::from(counts.requests);
         self.unserved = self.unserved * decay + f64::from(counts.unserved);
+        self.demand.add(counts.requests, now);
+    }
+
+    /// Requests a second.
+    pub(crate) fn requests_per_s(&self, now: ClockTime) -> f64 {
+        self.demand.per_s(now)
     }
 
     /// Fraction of the recent requests that were refused or failed.
-    pub(crate) fn fraction(&self) -> f64 {
+    pub(crate) fn unserved_share(&self) -> f64 {
         self.unserved / self.requests.max(1.0)
     }
 }
--- a/crates/policy/src/window_limit.rs
+++ b/crates/policy/src/window_limit.rs
@@ -1,6 +1,6 @@
-//! Limit on the requests of a workspace in a sliding window.
+//! Limit on requests in a sliding window.
 
-/// Limit on the requests of a workspace in a sliding window.
+/// Limit on requests in a sliding window, of a workspace or of the retries at a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WindowLimit {
     /// Requests a second; zero means no limit.
@@ -10,4 +10,7 @@
     /// Requests per window beyond rate and burst that the users' platform tolerates because of
     /// late reports.
     pub slack: f64,
+    /// Whether nearly full windows are recorded in the store, so that a restart of all hosts does
+    /// not give them out again.
+    pub is_recorded: bool,
 }
--- a/crates/policy/src/window_limiter.rs
+++ b/crates/policy/src/window_limiter.rs
@@ -204,7 +204,9 @@
     ///
     /// A rate of zero means no limit.
     pub(crate) fn needs_record(limit: WindowLimit) -> bool {
-        limit.rate > 0.0 && window_capacity(limit) > limit.slack * MIN_RECORDED_SLACKS
+        limit.is_recorded
+            && limit.rate > 0.0
+            && window_capacity(limit) > limit.slack * MIN_RECORDED_SLACKS
     }
 
     /// Used part of the capacity of `limit`, including admissions that are not reported yet.
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -123,7 +123,7 @@
     for number in 0..requests {
         let host = &mut hosts[number % HOSTS];
         host.deposit(ratio, slack, HOSTS);
-        while host.try_withdraw() {
+        while host.try_withdraw(None, 0.5) {
             retries += 1;
         }
     }
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -15,6 +15,7 @@
     rate: 10.0,
     burst: 10.0,
     slack: 20.0,
+    is_recorded: true,
 };
 
 fn at(millis: u64) -> ClockTime {
--- a/crates/policy/tests/workspace_limit/fleet_model.rs
+++ b/crates/policy/tests/workspace_limit/fleet_model.rs
@@ -45,6 +45,7 @@
         rate,
         burst,
         slack: 20.0,
+        is_recorded: true,
     }
 }
 
