Leave trials to the hub's offers, and log the suspicion at the choice

Cause: hosts also selected trials at random, up to 0.3 of the idempotent requests.

Change: a host selects trials at random only while no hub answers it. The log of a request has the fault probability when the instance was chosen, in place of the one after the outcome, so it shows the input of the choice.

--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -318,6 +318,9 @@
             u32::from(estimate.own_load),
         );
     }
+    if !answer.is_follower {
+        table.record_hub_offers(now);
+    }
     for trial in &answer.trials {
         table.apply_trial(trial.into(), now);
     }
--- a/crates/edge/src/in_flight_guard.rs
+++ b/crates/edge/src/in_flight_guard.rs
@@ -14,16 +14,21 @@
     key: InstanceKey,
     started_at: ClockTime,
     is_late: bool,
+    /// Probability that the instance is faulty, when it was chosen.
+    pub(crate) fault_probability: f64,
 }
 
 impl InFlightGuard {
     /// Guard for the instance `key`, at which the choice has already counted the request.
     pub(crate) fn new(context: &SharedContext, key: InstanceKey) -> Self {
+        let now = ClockTime::now();
+        let fault_probability = context.instances.borrow().get(key).fault_probability(now);
         InFlightGuard {
             context: Rc::clone(context),
             key,
-            started_at: ClockTime::now(),
+            started_at: now,
             is_late: false,
+            fault_probability,
         }
     }
 
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -94,6 +94,14 @@
     failure_response: Option<BufferedResponse>,
 }
 
+/// Result of an attempt, its duration in milliseconds, and the probability that the instance is
+/// faulty when it was chosen.
+struct EndedAttempt {
+    result: AttemptResult,
+    millis: u64,
+    fault_probability: f64,
+}
+
 impl RequestForwarder<'_> {
     /// Sends attempts until one succeeds or no further one is allowed.
     pub(crate) async fn forward(
@@ -196,8 +204,8 @@
         }
     }
 
-    /// Result of one attempt and its duration in milliseconds.
-    async fn attempt(&self, mut guard: InFlightGuard) -> (AttemptResult, u64) {
+    /// Sends one attempt.
+    async fn attempt(&self, mut guard: InFlightGuard) -> EndedAttempt {
         let slow_ms = {
             let table = self.context.instances.borrow();
             table.slow_threshold_ms(&self.service, self.objective_ms, ClockTime::now())
@@ -209,17 +217,22 @@
             slow_ms,
         };
         let result = send_attempt(self.context, &mut guard, input).await;
-        (result, guard.elapsed_ms())
+        EndedAttempt {
+            result,
+            millis: guard.elapsed_ms(),
+            fault_probability: guard.fault_probability,
+        }
     }
 
     /// Counts an attempt that has ended and adds it to the log record.
     fn finish_attempt(
         &self,
         key: InstanceKey,
-        (result, millis): (AttemptResult, u64),
+        ended: EndedAttempt,
         progress: &mut AttemptProgress,
         record: &mut RequestRecord,
     ) -> AttemptResult {
+        let result = ended.result;
         match result {
             AttemptResult::NotRun {
                 reached_instance: false,
@@ -239,8 +252,8 @@
         record.record_attempt(AttemptRecord {
             instance: state.listing.id.clone(),
             result: result.name(),
-            millis,
-            fault_probability: state.fault_probability(ClockTime::now()),
+            millis: ended.millis,
+            fault_probability: ended.fault_probability,
             in_flight: state.load(),
         });
         result
--- a/crates/edge/src/request_record.rs
+++ b/crates/edge/src/request_record.rs
@@ -50,7 +50,7 @@
     pub(crate) result: &'static str,
     /// Duration in milliseconds.
     pub(crate) millis: u64,
-    /// Estimated probability that the instance is faulty.
+    /// Estimated probability that the instance is faulty, when it was chosen.
     pub(crate) fault_probability: f64,
     /// Requests in flight at the instance from all hosts.
     pub(crate) in_flight: u32,
--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -40,7 +40,7 @@
 /// Fault probability from which an instance is suspected and gets few requests other than trials.
 pub(crate) const SUSPECT_PROBABILITY: f64 = 0.25;
 
-/// Fraction of idempotent requests used as trials, per suspected instance and at most in total.
+/// Fraction of idempotent requests used as trials without a hub, per suspected instance and at most in total.
 ///
 /// At 30 idempotent requests a second, each suspected instance gets a trial about every two
 /// seconds. The maximum still allows one trial a second for each of a third of 170 instances.
@@ -69,6 +69,8 @@
     pub(crate) retry_safety: RetrySafety,
     /// Mean latency of the service in milliseconds.
     pub(crate) mean_latency_ms: f64,
+    /// Whether a hub offers trials.
+    pub(crate) has_hub: bool,
     /// Time of the selection.
     pub(crate) now: ClockTime,
 }
@@ -103,7 +105,7 @@
     /// drawn with two random numbers from 0 to 1.
     fn select_trial(&self, draws: (f64, f64)) -> Option<InstanceKey> {
         let offered = self.find_trial(|_| true);
-        if offered.is_some() {
+        if offered.is_some() || self.has_hub {
             return offered;
         }
         let suspects: Vec<InstanceKey> = self
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -45,6 +45,9 @@
 /// The users' platform requires requests to the healthy instances from a tenth on.
 const REQUIRED_TRIAL_SHARE: f64 = 0.09;
 
+/// Milliseconds after an answer of a hub during which its offers replace random trials.
+const OFFERS_EXPECTED_MS: u64 = 1_000;
+
 /// Suspected instances for each healthy one up to which the floor holds without required trials.
 ///
 /// The platform's floor of 0.7 allows 0.43.
@@ -63,6 +66,8 @@
     service_counts: HashMap<u32, ServiceCounts>,
     /// At the hub: requests of the fleet, likewise.
     service_loads: HashMap<u32, ServiceLoad>,
+    /// Time until which a hub offers trials, so that this host selects none at random.
+    trials_offered_until: ClockTime,
     /// Number of hosts to which a round offers one trial.
     trial_width: TrialWidth,
     /// Number of hosts to which a round offers one required trial.
@@ -275,6 +280,7 @@
             data_centre,
             retry_safety,
             mean_latency_ms: self.mean_latency_ms(service, now),
+            has_hub: now < self.trials_offered_until,
             now,
         };
         let chosen = selector.select(draws, allow_trial)?;
@@ -388,6 +394,11 @@
         load.map_or(0.0, |load| load.requests_per_s(now))
     }
 
+    /// Records that a hub offers trials now.
+    pub fn record_hub_offers(&mut self, now: ClockTime) {
+        self.trials_offered_until = now.plus(OFFERS_EXPECTED_MS);
+    }
+
     /// Accepts a trial that the hub offered to this host.
     pub fn apply_trial(&mut self, offer: TrialOffer, now: ClockTime) {
         if let Some(key) = self.find_hash(offer.instance) {
