Send counters and estimates only when they changed, and the rest in turn

Cause: each answer of a hub had an estimate of every usable instance, each report and summary the counters of every workspace.

Change: messages have the counters that changed since the last one to the same receiver, and all of them every 0.6 s and in the first message, from which a new receiver takes its baseline (it counts nothing before). Answers have the instances whose fault probability, latency or queue moved by more than choices depend on, and a sixteenth of the others in turn. The load of other hosts is sent in place of the total and the reporter's own. Loads are summed once in 20 ms, not for each answer.

--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -11,6 +11,8 @@
 
 use slog::info;
 
+use crocushoist_policy::CounterSelection;
+use crocushoist_policy::EstimateSelection;
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::ReporterId;
 use crocushoist_policy::ServiceCounts;
@@ -53,7 +55,13 @@
 /// Report of this host with the sequence number `number`.
 ///
 /// Resets the outcome counters, so that each report has the outcomes since the last one.
-pub(crate) fn new_report(context: &EdgeContext, number: u32, now: ClockTime) -> HostReport {
+pub(crate) fn new_report(
+    context: &EdgeContext,
+    number: u32,
+    has_answer: bool,
+    selection: &mut CounterSelection,
+    now: ClockTime,
+) -> HostReport {
     let gates = context.workspace_gates.borrow();
     let workspaces = gates.iter().map(|(name, gate)| WorkspaceCounts {
         workspace: name_hash(name),
@@ -65,11 +73,12 @@
     let retries = budgets
         .iter()
         .map(|(service, budget)| budget.counts(service));
-    let counts = workspaces.chain(retries);
+    let (uses, has_all_uses) = selection.select(workspaces.chain(retries).collect(), now);
     let mut table = context.instances.borrow_mut();
     HostReport {
         number,
         incarnation: context.own_host.incarnation,
+        is_first: !has_answer,
         is_counted: context.is_counted.get(),
         callers: context
             .accepts_callers(now)
@@ -79,7 +88,8 @@
         config_version: context.config_version(),
         evidence_age: context.evidence.borrow().age(now),
         fleet_hash: context.advertised_hosts.borrow().hash,
-        uses: counts.map(|counts| (&counts).into()).collect(),
+        uses: uses.iter().map(Into::into).collect(),
+        has_all_uses,
         in_flight: table.in_flight(),
         outcomes: table.take_counts().iter().map(Into::into).collect(),
         used_trials: table.take_used_trials(),
@@ -102,11 +112,13 @@
         peer_address,
         incarnation: report.incarnation,
         is_counted: report.is_counted,
+        has_all_counts: report.has_all_uses,
     };
     let mut aggregator = context.aggregator.borrow_mut();
     aggregator.apply_report(reporter, report.callers, &workspace_counts, now);
     aggregator.set_host_load(peer_address, report.in_flight.clone());
     aggregator.update_limiters(|key| context.limit_of_key(key, now), now);
+    aggregator.update_fleet_load(now);
     let mut table = context.instances.borrow_mut();
     for wire in &report.services {
         aggregator.add_service_counts(wire.into());
@@ -148,7 +160,12 @@
 
 /// Answer to `report`. Trial requests are assigned only by a hub, and only to a host that accepts
 /// callers.
-pub(crate) fn new_answer(context: &EdgeContext, report: &HostReport, now: ClockTime) -> HubAnswer {
+pub(crate) fn new_answer(
+    context: &EdgeContext,
+    report: &HostReport,
+    selection: &mut EstimateSelection,
+    now: ClockTime,
+) -> HubAnswer {
     let data_centre = &context.own_host.data_centre;
     let trials = if context.is_hub.get() && report.callers.is_some() {
         let mut table = context.instances.borrow_mut();
@@ -176,22 +193,25 @@
         Some(last) if !is_complete => last.changed_at,
         _ => table.next_offset(),
     };
-    let fleet_load = context.aggregator.borrow().fleet_load(now);
+    let aggregator = context.aggregator.borrow();
+    let fleet_load = aggregator.fleet_load();
     let reporter_load: HashMap<u32, u32> = report.in_flight.iter().copied().collect();
-    let estimates = table
-        .usable(now)
-        .map(|state| WireEstimate {
-            instance: state.hash,
-            faulty: (state.fault_probability(now) * THOUSANDTHS) as u16,
-            latency_ms: state.latency_ms() as u16,
-            load: capped_count(&fleet_load, state.hash),
-            own_load: capped_count(&reporter_load, state.hash),
-        })
-        .collect();
-    let shares = context
-        .aggregator
-        .borrow()
-        .shares(|key| context.limit_of_key(key, now), now);
+    let load_of = |load: &HashMap<u32, u32>, hash| load.get(&hash).copied().unwrap_or_default();
+    selection.start_answer();
+    let mut estimates = Vec::new();
+    for state in table.usable(now) {
+        let own_load = load_of(&reporter_load, state.hash);
+        let others_load = load_of(fleet_load, state.hash).saturating_sub(own_load);
+        if selection.select(state, others_load, now) {
+            estimates.push(WireEstimate {
+                instance: state.hash,
+                faulty: (state.fault_probability(now) * THOUSANDTHS) as u16,
+                latency_ms: state.latency_ms() as u16,
+                others_load: u16::try_from(others_load).unwrap_or(u16::MAX),
+            });
+        }
+    }
+    let shares = aggregator.shares(|key| context.limit_of_key(key, now), now);
     let advertised_hosts = context.advertised_hosts.borrow();
     HubAnswer {
         number: report.number,
@@ -223,12 +243,6 @@
     Some(WireHub::new(*offset, registration))
 }
 
-/// Requests in flight at `instance`, at most 65 535, the largest value of the field.
-fn capped_count(counts: &HashMap<u32, u32>, instance: u32) -> u16 {
-    let count = counts.get(&instance).copied().unwrap_or_default();
-    u16::try_from(count).unwrap_or(u16::MAX)
-}
-
 /// Applies a hub's answer to a report that was sent at `report_sent_at`.
 ///
 /// The ages in the answer count back from that time, the earliest at which it can have been
@@ -312,11 +326,7 @@
 pub(crate) fn apply_assignments(context: &EdgeContext, answer: &HubAnswer, now: ClockTime) {
     let mut table = context.instances.borrow_mut();
     for estimate in &answer.beliefs {
-        table.set_load(
-            estimate.instance,
-            u32::from(estimate.load),
-            u32::from(estimate.own_load),
-        );
+        table.set_others_load(estimate.instance, u32::from(estimate.others_load));
     }
     if !answer.is_follower {
         table.record_hub_offers(now);
@@ -369,6 +379,7 @@
     context: &EdgeContext,
     outcomes: &[(u32, OutcomeCounts)],
     services: &[ServiceCounts],
+    selection: &mut CounterSelection,
     with_hosts: bool,
     now: ClockTime,
 ) -> HubSummary {
@@ -377,11 +388,13 @@
         .reachable_hubs(now)
         .into_iter()
         .map(|(address, _)| address);
+    let (uses, has_all_uses) = selection.select(aggregator.local_totals(), now);
     HubSummary {
         incarnation: context.own_host.incarnation,
         data_centre: context.own_host.data_centre.clone(),
         hosts: with_hosts.then(|| aggregator.local_hosts(now)),
-        uses: aggregator.local_totals().iter().map(Into::into).collect(),
+        uses: uses.iter().map(Into::into).collect(),
+        has_all_uses,
         heard_hubs: reachable_hubs.collect(),
         outcomes: outcomes.iter().map(Into::into).collect(),
         services: services.iter().map(Into::into).collect(),
@@ -403,6 +416,7 @@
         incarnation: summary.incarnation,
         // Another hub may have counted requests that a hub's first summary includes.
         is_counted: true,
+        has_all_counts: summary.has_all_uses,
     };
     let mut aggregator = context.aggregator.borrow_mut();
     aggregator.apply_summary(
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -47,6 +47,8 @@
     pub(crate) number: u32,
     /// Random number that identifies this start of the host.
     pub(crate) incarnation: u64,
+    /// Whether no answer of this hub has arrived yet.
+    pub(crate) is_first: bool,
     /// Whether a hub has answered, and so counted, a report since this start.
     pub(crate) is_counted: bool,
     /// Address for callers, `None` if the host accepts no callers.
@@ -61,8 +63,10 @@
     pub(crate) evidence_age: Option<u64>,
     /// Hash of the hosts that its address lookups return.
     pub(crate) fleet_hash: u32,
-    /// Requests of each workspace since the start of the host.
+    /// Requests of workspaces and retries at services since the start of the host.
     pub(crate) uses: Vec<WireWorkspaceCounts>,
+    /// Whether `uses` has all of them, or only those that changed since the last report.
+    pub(crate) has_all_uses: bool,
     /// Outcomes of attempts at instances since the last report.
     pub(crate) outcomes: Vec<WireOutcomes>,
     /// Requests in flight by the hash of the instance's id.
@@ -101,7 +105,7 @@
     /// Shares below 1000 thousandths by the hash of the workspace's name, `None` while the hub is
     /// warming up.
     pub(crate) shares: Option<Vec<(u32, u16)>>,
-    /// Estimates of all usable instances.
+    /// Estimates of instances that changed, and of some others.
     pub(crate) beliefs: Vec<WireEstimate>,
     /// Suspected instances to which the reporter may send a trial request.
     pub(crate) trials: Vec<WireTrial>,
@@ -121,8 +125,10 @@
     pub(crate) data_centre: CompactString,
     /// Hosts that accept callers, not sent every time.
     pub(crate) hosts: Option<Vec<SocketAddr>>,
-    /// Requests of each workspace, summed over the data centre.
+    /// Requests of workspaces and retries at services, summed over the data centre.
     pub(crate) uses: Vec<WireWorkspaceCounts>,
+    /// Whether `uses` has all of them, or only those that changed since the last summary.
+    pub(crate) has_all_uses: bool,
     /// Other hubs that sent a summary recently; the receiver may not know them.
     pub(crate) heard_hubs: Vec<SocketAddr>,
     /// Outcomes of attempts at instances since the last summary.
@@ -265,10 +271,8 @@
     pub(crate) faulty: u16,
     /// Smoothed latency in milliseconds.
     pub(crate) latency_ms: u16,
-    /// Requests in flight from all hosts.
-    pub(crate) load: u16,
-    /// Requests in flight from the reporter, as in its report.
-    pub(crate) own_load: u16,
+    /// Requests in flight from hosts other than the reporter.
+    pub(crate) others_load: u16,
 }
 
 /// Hash of a suspected instance's id, and whether its trial is required.
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -6,6 +6,7 @@
 //! host's own, is skipped for a while and the next host is chosen.
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,6 +18,8 @@
 use slog::info;
 use slog::warn;
 
+use crocushoist_policy::CounterSelection;
+use crocushoist_policy::EstimateSelection;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::SharedContext;
@@ -64,6 +67,10 @@
     unanswered_since: Option<ClockTime>,
     /// Sequence numbers of the last reports and when they were sent.
     sent: VecDeque<(u32, ClockTime)>,
+    /// Whether the hub has answered.
+    has_answer: bool,
+    /// Counters of the reports.
+    selection: CounterSelection,
 }
 
 /// Sends and receives the datagrams of this host.
@@ -71,6 +78,18 @@
     context: SharedContext,
     socket: UdpSocket,
     reports: RefCell<SentReports>,
+    /// Incarnations of the hubs that sent a summary.
+    hub_incarnations: RefCell<HashMap<SocketAddr, u64>>,
+    /// Counters of the summaries, by recipient.
+    summary_selections: RefCell<HashMap<SocketAddr, CounterSelection>>,
+    /// Estimates in the answers, by reporter.
+    answer_selections: RefCell<HashMap<SocketAddr, AnswerSelection>>,
+}
+
+/// Estimates that answers to one start of a host had.
+struct AnswerSelection {
+    incarnation: u64,
+    selection: EstimateSelection,
 }
 
 impl PeerTasks {
@@ -80,6 +99,9 @@
             context,
             socket,
             reports: RefCell::default(),
+            hub_incarnations: RefCell::default(),
+            summary_selections: RefCell::default(),
+            answer_selections: RefCell::default(),
         })
     }
 
@@ -196,7 +218,14 @@
                 reports.sent.pop_front();
             }
             reports.unanswered_since.get_or_insert(now);
-            new_report(&self.context, number, now)
+            let has_answer = reports.has_answer;
+            new_report(
+                &self.context,
+                number,
+                has_answer,
+                &mut reports.selection,
+                now,
+            )
         };
         self.send_to(hub, &PeerMessage::Report(report)).await;
     }
@@ -204,13 +233,20 @@
     /// Acts as hub, with this host as one of its reporters.
     async fn act_as_hub(&self, round: u32, now: ClockTime) {
         let own_address = self.context.own_host.peer_address;
-        let report = new_report(&self.context, 0, now);
+        let report = new_report(
+            &self.context,
+            0,
+            true,
+            &mut CounterSelection::default(),
+            now,
+        );
         apply_report(&self.context, own_address, &report, now);
         // This host has applied its own counters as a hub.
         self.context.is_counted.set(true);
         self.publish_totals(round, now).await;
         update_advertised_hosts(&self.context, now);
-        let answer = new_answer(&self.context, &report, now);
+        let mut selection = EstimateSelection::default();
+        let answer = new_answer(&self.context, &report, &mut selection, now);
         if let Some(shares) = &answer.shares {
             log_limit_changes(&self.context, shares);
         }
@@ -241,7 +277,18 @@
         };
         for hub in self.all_summary_recipients(number, now) {
             let with_hosts = number.is_multiple_of(SUMMARIES_PER_HOST_LIST);
-            let summary = new_summary(&self.context, &outcomes, &services, with_hosts, now);
+            let summary = {
+                let mut selections = self.summary_selections.borrow_mut();
+                let selection = selections.entry(hub).or_default();
+                new_summary(
+                    &self.context,
+                    &outcomes,
+                    &services,
+                    selection,
+                    with_hosts,
+                    now,
+                )
+            };
             self.send_to(hub, &PeerMessage::Summary(summary)).await;
         }
     }
@@ -302,7 +349,19 @@
             PeerMessage::Report(_) if !self.context.can_be_hub() => {}
             PeerMessage::Report(report) => {
                 apply_report(&self.context, peer, &report, now);
-                let answer = new_answer(&self.context, &report, now);
+                let answer = {
+                    let mut selections = self.answer_selections.borrow_mut();
+                    let entry = selections.entry(peer).or_insert_with(|| AnswerSelection {
+                        incarnation: report.incarnation,
+                        selection: EstimateSelection::default(),
+                    });
+                    // A restarted host, or one that comes from another hub, knows nothing yet.
+                    if entry.incarnation != report.incarnation || report.is_first {
+                        entry.incarnation = report.incarnation;
+                        entry.selection = EstimateSelection::default();
+                    }
+                    new_answer(&self.context, &report, &mut entry.selection, now)
+                };
                 self.send_to(peer, &PeerMessage::Answer(answer)).await;
             }
             PeerMessage::Answer(answer) => {
@@ -310,7 +369,18 @@
                     apply_answer(&self.context, peer, answer, sent_at, now);
                 }
             }
-            PeerMessage::Summary(summary) => apply_summary(&self.context, peer, summary, now),
+            PeerMessage::Summary(summary) => {
+                self.restart_selection(peer, summary.incarnation);
+                apply_summary(&self.context, peer, summary, now);
+            }
+        }
+    }
+
+    /// Starts again with all counters for a hub that restarted.
+    fn restart_selection(&self, peer: SocketAddr, incarnation: u64) {
+        let known = self.hub_incarnations.borrow_mut().insert(peer, incarnation);
+        if known != Some(incarnation) {
+            self.summary_selections.borrow_mut().remove(&peer);
         }
     }
 
@@ -326,6 +396,7 @@
             .find(|(sent_number, _)| *sent_number == number);
         let sent_at = sent.map(|(_, at)| *at)?;
         reports.unanswered_since = None;
+        reports.has_answer = true;
         Some(sent_at)
     }
 
--- a/crates/policy/src/hub_aggregator.rs
+++ b/crates/policy/src/hub_aggregator.rs
@@ -56,6 +56,9 @@
 /// Minimum interval in milliseconds between updates of the limiters.
 const UPDATE_INTERVAL_MS: u64 = 50;
 
+/// Minimum interval in milliseconds between sums of the requests in flight.
+const LOAD_INTERVAL_MS: u64 = 20;
+
 /// Milliseconds after the first report during which a hub assigns no shares.
 ///
 /// Until this time has passed, it does not know the callers' demand, which reports show, or the use
@@ -96,6 +99,9 @@
     outcomes: HashMap<u32, OutcomeCounts>,
     /// Requests to send to the other hubs, by the hash of the service's name.
     service_counts: HashMap<u32, ServiceCounts>,
+    /// Requests in flight from all data centres, by instance hash, and when they were summed.
+    fleet_load: HashMap<u32, u32>,
+    load_summed_at: ClockTime,
     /// Time of the last update of the limiters.
     updated_at: ClockTime,
     /// Time of the first report of a host of this data centre.
@@ -232,13 +238,23 @@
         sum_load(self.hosts.values(), HOST_TIMEOUT_MS, now)
     }
 
-    /// Requests in flight from all data centres, by instance hash.
-    pub fn fleet_load(&self, now: ClockTime) -> HashMap<u32, u32> {
+    /// Requests in flight from all data centres, by instance hash, at the last call of
+    /// [`Self::update_fleet_load`].
+    pub fn fleet_load(&self) -> &HashMap<u32, u32> {
+        &self.fleet_load
+    }
+
+    /// Sums the requests in flight from all data centres, at most once in `LOAD_INTERVAL_MS`.
+    pub fn update_fleet_load(&mut self, now: ClockTime) {
+        if now.since(self.load_summed_at) < LOAD_INTERVAL_MS {
+            return;
+        }
+        self.load_summed_at = now;
         let mut load = self.local_load(now);
         for (instance, count) in sum_load(self.hubs.values(), HUB_TIMEOUT_MS, now) {
             *load.entry(instance).or_default() += count;
         }
-        load
+        self.fleet_load = load;
     }
 
     /// Adds requests that hosts of this data centre reported, to be sent to the other hubs.
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -491,12 +491,10 @@
             .collect()
     }
 
-    /// Sets the load of an instance: `total` requests in flight from all hosts, of which this
-    /// host had reported `from_this_host`.
-    pub fn set_load(&mut self, hash: u32, total: u32, from_this_host: u32) {
+    /// Sets the requests in flight at an instance from the other hosts.
+    pub fn set_others_load(&mut self, hash: u32, count: u32) {
         if let Some(key) = self.find_hash(hash) {
-            let others = total.saturating_sub(from_this_host);
-            self.instances[key].set_others_in_flight(others);
+            self.instances[key].set_others_in_flight(count);
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,7 +7,9 @@
 
 mod admission_rank;
 mod config_evidence;
+mod counter_selection;
 mod deployment_config;
+mod estimate_selection;
 mod fault_estimate;
 mod fleet_coverage;
 mod host_roster;
@@ -40,12 +42,14 @@
 
 pub use admission_rank::AdmissionRank;
 pub use config_evidence::ConfigEvidence;
+pub use counter_selection::CounterSelection;
 pub use deployment_config::CallerLimits;
 pub use deployment_config::DeploymentConfig;
 pub use deployment_config::RetrySafety;
 pub use deployment_config::RouteSpec;
 pub use deployment_config::WeightedService;
 pub use deployment_config::WorkspaceSpec;
+pub use estimate_selection::EstimateSelection;
 pub use fault_estimate::AttemptOutcome;
 pub use fault_estimate::FaultEstimate;
 pub use host_roster::HostRegistration;
--- a/crates/policy/src/reported_counters.rs
+++ b/crates/policy/src/reported_counters.rs
@@ -21,6 +21,8 @@
     pub incarnation: u64,
     /// Whether another hub may have counted its earlier requests.
     pub is_counted: bool,
+    /// Whether the message has all counters, or only those that changed.
+    pub has_all_counts: bool,
 }
 
 /// State of a reporter as of its last report.
@@ -40,13 +42,15 @@
     pub(crate) in_flight: Vec<(u32, u32)>,
     /// Number of hosts whose requests the reporter counts.
     pub(crate) host_count: u32,
+    /// Whether the next message with all counters is the baseline.
+    awaits_baseline: bool,
 }
 
 /// Returns the entry of a reporter, inserting or resetting it where needed.
 ///
 /// For a reporter that is new, or was silent for more than `timeout_ms` and therefore reported
-/// to another hub, the reported counters become the baseline if another hub may have counted
-/// them. The counters of a restarted reporter begin at zero.
+/// to another hub, the counters of its first message with all of them become the baseline if
+/// another hub may have counted them. The counters of a restarted reporter begin at zero.
 pub(crate) fn reporter_entry<'a>(
     reporters: &'a mut HashMap<SocketAddr, ReportedCounters>,
     reporter_id: ReporterId,
@@ -54,39 +58,45 @@
     timeout_ms: u64,
     now: ClockTime,
 ) -> &'a mut ReportedCounters {
-    let baseline = || {
-        counts
-            .iter()
-            .filter(|_| reporter_id.is_counted)
-            .map(|count| (count.workspace, (count.admitted, count.refused)))
-            .collect()
-    };
     let reporter = reporters
         .entry(reporter_id.peer_address)
         .or_insert_with(|| ReportedCounters {
             incarnation: reporter_id.incarnation,
             last_seen_at: now,
-            totals: baseline(),
+            totals: HashMap::new(),
             caller_addresses: Vec::new(),
             data_centre: CompactString::default(),
             in_flight: Vec::new(),
             host_count: 1,
+            awaits_baseline: reporter_id.is_counted,
         });
     if reporter.incarnation != reporter_id.incarnation {
         reporter.incarnation = reporter_id.incarnation;
         reporter.totals.clear();
+        reporter.awaits_baseline = false;
     } else if now.since(reporter.last_seen_at) > timeout_ms {
-        reporter.totals = baseline();
+        reporter.awaits_baseline = reporter_id.is_counted;
     }
     reporter.last_seen_at = now;
+    if reporter.awaits_baseline && reporter_id.has_all_counts {
+        reporter.awaits_baseline = false;
+        let totals = counts.iter();
+        reporter.totals = totals
+            .map(|count| (count.workspace, (count.admitted, count.refused)))
+            .collect();
+    }
     reporter
 }
 
-/// Stores the reported totals and returns their increments since the last report.
+/// Stores the reported totals and returns their increments since the last report, none before the
+/// baseline.
 pub(crate) fn update_totals(
     reporter: &mut ReportedCounters,
     counts: &[WorkspaceCounts],
 ) -> Vec<WorkspaceCounts> {
+    if reporter.awaits_baseline {
+        return Vec::new();
+    }
     counts
         .iter()
         .map(|count| {
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crocushoist_policy::CounterSelection;
 use crocushoist_policy::HostRegistration;
 use crocushoist_policy::HostRoster;
 use crocushoist_policy::HubAggregator;
@@ -27,6 +28,7 @@
         peer_address: SocketAddr::from(([10, 0, 0, number], 7000)),
         incarnation: 1,
         is_counted: true,
+        has_all_counts: true,
     }
 }
 
@@ -281,3 +283,49 @@
     };
     assert!(!resized.is_same_host(&before));
 }
+
+#[test]
+fn messages_have_the_changed_counters_and_at_times_all() {
+    let counts = |admitted: [u32; 2]| -> Vec<WorkspaceCounts> {
+        let numbered = admitted.into_iter().enumerate();
+        numbered
+            .map(|(workspace, admitted)| WorkspaceCounts {
+                workspace: workspace as u32,
+                admitted,
+                refused: 0,
+                in_window: None,
+            })
+            .collect()
+    };
+    let mut selection = CounterSelection::default();
+    assert_eq!(
+        selection.select(counts([1, 1]), at(0)),
+        (counts([1, 1]), true)
+    );
+    assert_eq!(
+        selection.select(counts([1, 1]), at(60)),
+        (Vec::new(), false)
+    );
+    let (changed, is_complete) = selection.select(counts([1, 4]), at(120));
+    assert_eq!((changed.len(), is_complete), (1, false));
+    assert_eq!(changed[0].workspace, 1);
+    // The message before may be lost; all counters follow.
+    assert_eq!(
+        selection.select(counts([1, 4]), at(700)),
+        (counts([1, 4]), true)
+    );
+}
+
+#[test]
+fn counters_of_a_new_reporter_count_from_its_first_complete_message() {
+    let partial = |number| ReporterId {
+        has_all_counts: false,
+        ..reporter(number)
+    };
+    let mut hub = HubAggregator::default();
+    hub.apply_report(partial(1), None, &counts(500), at(0));
+    hub.apply_report(partial(1), None, &counts(501), at(60));
+    hub.apply_report(reporter(1), None, &counts(502), at(120));
+    hub.apply_report(partial(1), None, &counts(505), at(180));
+    assert_eq!(hub.local_totals()[0].admitted, 3);
+}
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -83,7 +83,7 @@
             let here = in_flight.iter().filter(|(_, at, _)| *at == instance);
             let total = here.clone().count() as u32;
             let own = here.filter(|(from, ..)| *from == host).count() as u32;
-            table.set_load(hash, total, own);
+            table.set_others_load(hash, total - own);
         }
     }
 }
@@ -109,7 +109,7 @@
     assert_eq!(table.min_queue_per_slot(SERVICE, now), Some(0.0));
     let hashes: Vec<u32> = table.iter().map(|(_, state)| state.hash).collect();
     for hash in hashes {
-        table.set_load(hash, 2 * SLOTS + 2, 0);
+        table.set_others_load(hash, 2 * SLOTS + 2);
     }
     assert_eq!(table.min_queue_per_slot(SERVICE, now), Some(2.0));
     assert_eq!(table.min_queue_per_slot("unknown", now), None);
--- a/crates/policy/tests/workspace_limit/fleet_model.rs
+++ b/crates/policy/tests/workspace_limit/fleet_model.rs
@@ -54,6 +54,7 @@
         peer_address: SocketAddr::from(([10, 0, 0, number as u8], 7000)),
         incarnation: 1,
         is_counted: true,
+        has_all_counts: true,
     }
 }
 
