Find changed estimates once for all hosts, and prefer the own data centre

The hub compared every instance for every report (89% of a core); hosts that needed the configuration or the list for themselves waited for their turn among the hosts that share evidence; mean latencies were computed over all instances several times a request and at each insertion; each instance of a fetched list was logged.

Change: EstimateFeed searches for changes once for all hosts and answers in the order of the changes, and a part of the others in turn. Hosts without the content read the store for themselves after the wait for their hub. Mean latencies are kept for 100 ms. A fetched list is one line in the log. A remote instance costs 0.9 of the mean latency.

--- a/crates/edge/src/config_reader.rs
+++ b/crates/edge/src/config_reader.rs
@@ -23,6 +23,7 @@
 use crocushoist_platform::decode_config;
 use crocushoist_policy::DeploymentConfig;
 use crocushoist_policy::LimitIndex;
+use crocushoist_policy::ReadSharing;
 use crocushoist_policy::StoreReadPacer;
 use crocushoist_state::ClockTime;
 
@@ -112,8 +113,13 @@
     let misses_version = context.newest_config_version.get() > context.config_version();
     let since_newer = context.newer_version_since.get();
     let is_overdue = since_newer.is_some_and(|at| now.since(at) > FETCH_GRACE_MS);
-    (is_stale || (misses_version && is_overdue))
-        && pacer.is_due(context.read_sharing(now), rand::random(), now)
+    // Other hosts share evidence, but each needs the content for itself.
+    let sharing = if age.is_none() || misses_version {
+        ReadSharing::Alone
+    } else {
+        context.read_sharing(now)
+    };
+    (is_stale || (misses_version && is_overdue)) && pacer.is_due(sharing, rand::random(), now)
 }
 
 /// Reads the newest records and returns the next offset.
--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -12,6 +12,7 @@
 use crocushoist_platform::StoreClient;
 use crocushoist_policy::ConfigEvidence;
 use crocushoist_policy::DeploymentConfig;
+use crocushoist_policy::EstimateFeed;
 use crocushoist_policy::FleetLimit;
 use crocushoist_policy::HostRegistration;
 use crocushoist_policy::HostRoster;
@@ -108,6 +109,8 @@
     pub(crate) roster: RefCell<HostRoster>,
     /// Sums over the hosts that report to this one.
     pub(crate) aggregator: RefCell<HubAggregator>,
+    /// At the hub: changes of the estimates of instances.
+    pub(crate) estimate_feed: RefCell<EstimateFeed>,
     /// Hosts that address lookups return.
     pub(crate) advertised_hosts: RefCell<AdvertisedHosts>,
     /// Whether this host acts as the hub of its data centre.
@@ -178,6 +181,7 @@
             retry_budgets: RefCell::default(),
             roster: RefCell::default(),
             aggregator: RefCell::default(),
+            estimate_feed: RefCell::default(),
             advertised_hosts: RefCell::default(),
             is_hub: Cell::new(false),
             is_counted: Cell::new(false),
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -12,7 +12,7 @@
 use slog::info;
 
 use crocushoist_policy::CounterSelection;
-use crocushoist_policy::EstimateSelection;
+use crocushoist_policy::FeedCursor;
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::ReporterId;
 use crocushoist_policy::ServiceCounts;
@@ -163,7 +163,7 @@
 pub(crate) fn new_answer(
     context: &EdgeContext,
     report: &HostReport,
-    selection: &mut EstimateSelection,
+    cursor: &mut FeedCursor,
     now: ClockTime,
 ) -> HubAnswer {
     let data_centre = &context.own_host.data_centre;
@@ -197,20 +197,22 @@
     let fleet_load = aggregator.fleet_load();
     let reporter_load: HashMap<u32, u32> = report.in_flight.iter().copied().collect();
     let load_of = |load: &HashMap<u32, u32>, hash| load.get(&hash).copied().unwrap_or_default();
-    selection.start_answer();
-    let mut estimates = Vec::new();
-    for state in table.usable(now) {
-        let own_load = load_of(&reporter_load, state.hash);
-        let others_load = load_of(fleet_load, state.hash).saturating_sub(own_load);
-        if selection.select(state, others_load, now) {
-            estimates.push(WireEstimate {
+    let mut feed = context.estimate_feed.borrow_mut();
+    feed.search(&table, fleet_load, now);
+    let described = feed.next_answer(cursor).into_iter();
+    let estimates = described
+        .map(|key| {
+            let state = table.get(key);
+            let own_load = load_of(&reporter_load, state.hash);
+            let others_load = load_of(fleet_load, state.hash).saturating_sub(own_load);
+            WireEstimate {
                 instance: state.hash,
                 faulty: (state.fault_probability(now) * THOUSANDTHS) as u16,
                 latency_ms: state.latency_ms() as u16,
                 others_load: u16::try_from(others_load).unwrap_or(u16::MAX),
-            });
-        }
-    }
+            }
+        })
+        .collect();
     let shares = aggregator.shares(|key| context.limit_of_key(key, now), now);
     let advertised_hosts = context.advertised_hosts.borrow();
     HubAnswer {
--- a/crates/edge/src/listing_reader.rs
+++ b/crates/edge/src/listing_reader.rs
@@ -17,6 +17,7 @@
 use crocushoist_platform::StoreTopic;
 use crocushoist_platform::decode_instance;
 use crocushoist_policy::ListingChange;
+use crocushoist_policy::ReadSharing;
 use crocushoist_policy::StoreReadPacer;
 use crocushoist_state::ClockTime;
 
@@ -107,9 +108,10 @@
     if context.is_hub.get() {
         return true;
     }
-    let awaits_hub = context.listing_synced_at.get().is_none() && context.awaits_hub(now);
-    let is_due = pacer.is_due(context.read_sharing(now), rand::random(), now);
-    context.is_listing_stale(now) && !awaits_hub && is_due
+    if context.listing_synced_at.get().is_none() {
+        return !context.awaits_hub(now) && pacer.is_due(ReadSharing::Alone, rand::random(), now);
+    }
+    context.is_listing_stale(now) && pacer.is_due(context.read_sharing(now), rand::random(), now)
 }
 
 /// Reads the whole list; instances that it does not contain are removed.
--- a/crates/edge/src/listing_snapshot.rs
+++ b/crates/edge/src/listing_snapshot.rs
@@ -12,6 +12,7 @@
 use slog::info;
 
 use crocushoist_policy::InstanceListing;
+use crocushoist_policy::ListingChange;
 use crocushoist_policy::Presence;
 use crocushoist_state::ClockTime;
 
@@ -52,6 +53,7 @@
         if self.end_offset < context.instances.borrow().next_offset() {
             return;
         }
+        let mut joined = 0;
         let mut ids: HashSet<CompactString> = HashSet::with_capacity(self.entries.len());
         for entry in self.entries {
             let offset = entry.changed_at;
@@ -61,7 +63,11 @@
             let mut table = context.instances.borrow_mut();
             let change = table.apply_relayed(offset, listing, presence, now);
             drop(table);
-            log_change(context, &id, change, offset);
+            if change == ListingChange::Joined {
+                joined += 1;
+            } else {
+                log_change(context, &id, change, offset);
+            }
             ids.insert(id);
         }
         let absent = context.instances.borrow_mut().finish_full_list(
@@ -70,6 +76,8 @@
             None,
             now,
         );
+        info!(context.logger, "instance list fetched"; "instances" => ids.len(),
+            "joined" => joined, "age_ms" => self.age, "offset" => self.end_offset);
         for id in absent {
             info!(context.logger, "instance left"; "instance" => id.as_str(),
                 "cause" => "not in a peer's full list", "offset" => self.end_offset);
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -19,7 +19,7 @@
 use slog::warn;
 
 use crocushoist_policy::CounterSelection;
-use crocushoist_policy::EstimateSelection;
+use crocushoist_policy::FeedCursor;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::SharedContext;
@@ -82,14 +82,14 @@
     hub_incarnations: RefCell<HashMap<SocketAddr, u64>>,
     /// Counters of the summaries, by recipient.
     summary_selections: RefCell<HashMap<SocketAddr, CounterSelection>>,
-    /// Estimates in the answers, by reporter.
-    answer_selections: RefCell<HashMap<SocketAddr, AnswerSelection>>,
+    /// Positions of the reporters in the feed of estimates.
+    cursors: RefCell<HashMap<SocketAddr, ReporterCursor>>,
 }
 
-/// Estimates that answers to one start of a host had.
-struct AnswerSelection {
+/// Position of one start of a host in the feed of estimates.
+struct ReporterCursor {
     incarnation: u64,
-    selection: EstimateSelection,
+    cursor: FeedCursor,
 }
 
 impl PeerTasks {
@@ -101,7 +101,7 @@
             reports: RefCell::default(),
             hub_incarnations: RefCell::default(),
             summary_selections: RefCell::default(),
-            answer_selections: RefCell::default(),
+            cursors: RefCell::default(),
         })
     }
 
@@ -245,8 +245,8 @@
         self.context.is_counted.set(true);
         self.publish_totals(round, now).await;
         update_advertised_hosts(&self.context, now);
-        let mut selection = EstimateSelection::default();
-        let answer = new_answer(&self.context, &report, &mut selection, now);
+        let mut cursor = FeedCursor::default();
+        let answer = new_answer(&self.context, &report, &mut cursor, now);
         if let Some(shares) = &answer.shares {
             log_limit_changes(&self.context, shares);
         }
@@ -350,17 +350,17 @@
             PeerMessage::Report(report) => {
                 apply_report(&self.context, peer, &report, now);
                 let answer = {
-                    let mut selections = self.answer_selections.borrow_mut();
-                    let entry = selections.entry(peer).or_insert_with(|| AnswerSelection {
+                    let mut cursors = self.cursors.borrow_mut();
+                    let entry = cursors.entry(peer).or_insert_with(|| ReporterCursor {
                         incarnation: report.incarnation,
-                        selection: EstimateSelection::default(),
+                        cursor: FeedCursor::default(),
                     });
                     // A restarted host, or one that comes from another hub, knows nothing yet.
                     if entry.incarnation != report.incarnation || report.is_first {
                         entry.incarnation = report.incarnation;
-                        entry.selection = EstimateSelection::default();
+                        entry.cursor = FeedCursor::default();
                     }
-                    new_answer(&self.context, &report, &mut entry.selection, now)
+                    new_answer(&self.context, &report, &mut entry.cursor, now)
                 };
                 self.send_to(peer, &PeerMessage::Answer(answer)).await;
             }
--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -20,7 +20,7 @@
 const QUEUE_COST: f64 = 0.3;
 const QUADRATIC_QUEUE_COST: f64 = 0.12;
 const LATENCY_COST: f64 = 0.7;
-const REMOTE_COST: f64 = 0.5;
+const REMOTE_COST: f64 = 0.9;
 const WARM_UP_COST: f64 = 0.8;
 const CONNECT_COST: f64 = 0.15;
 const FAULT_COST_AT_MOST_ONCE: f64 = 9.0;
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -6,6 +6,7 @@
 //! fault probability alone never excludes an instance: while all of them look
 //! faulty, the least suspicious ones still serve requests.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -37,6 +38,9 @@
 /// Latency in milliseconds that is assumed before the first response of a service.
 const INITIAL_LATENCY_MS: f64 = 250.0;
 
+/// Milliseconds for which a mean latency is used.
+const MEAN_VALID_MS: u64 = 100;
+
 /// Multiple of the service's mean latency up to which a response never counts as late.
 const SLOW_LATENCY_FACTOR: f64 = 2.5;
 
@@ -45,6 +49,10 @@
 /// The users' platform requires requests to the healthy instances from a tenth on.
 const REQUIRED_TRIAL_SHARE: f64 = 0.09;
 
+/// Fault probability up to which an instance did not fail lately; just above the one of an instance
+/// without any outcome.
+const UNPROVEN_PROBABILITY: f64 = 0.105;
+
 /// Milliseconds after an answer of a hub during which its offers replace random trials.
 const OFFERS_EXPECTED_MS: u64 = 1_000;
 
@@ -60,6 +68,8 @@
     instances: PrimaryMap<InstanceKey, InstanceState>,
     /// Lookup by id, hash and service.
     index: InstanceIndex,
+    /// Mean latencies in milliseconds by service, each with the time when it was computed.
+    mean_latencies: RefCell<HashMap<CompactString, (f64, ClockTime)>>,
     /// Offset of the first entry that was not applied yet.
     next_offset: u64,
     /// Requests of this host since the last report, by the hash of the service's name.
@@ -288,12 +298,12 @@
         Some(chosen)
     }
 
-    /// At the hub: trials of up to `max_count` suspected instances of `data_centre` to offer to a
-    /// host.
+    /// At the hub: trials of up to `max_count` instances of `data_centre` to offer to a host.
     ///
-    /// If hosts only selected trials at random, some instances would get no request for
-    /// seconds. While many requests of a service fail, its trials are required: requests that may
-    /// run only once are then used too.
+    /// If hosts only selected by cost or at random, some instances would get no request for
+    /// seconds. A trial of an instance that did not fail lately, such as a new one, takes any
+    /// request. Those of other ones take requests that may run again, and any request while many
+    /// requests of the service fail.
     pub fn assign_trials(
         &mut self,
         data_centre: &str,
@@ -306,12 +316,13 @@
             if offers.len() == max_count {
                 break;
             }
-            let is_suspected = state.listing.data_centre == data_centre
+            let is_candidate = state.listing.data_centre == data_centre
                 && state.is_usable(now)
-                && state.fault_probability(now) >= SUSPECT_PROBABILITY;
-            if !is_suspected || !state.trial_round.is_due(now) {
+                && state.trial_round.is_due(now);
+            if !is_candidate {
                 continue;
             }
+            let is_unproven = state.fault_probability(now) <= UNPROVEN_PROBABILITY;
             let round = &mut state.trial_round;
             if round.is_over(now) {
                 match round.open_kind() {
@@ -319,7 +330,8 @@
                     Some(TrialKind::Optional) => self.trial_width.record_unused(),
                     None => {}
                 }
-                if round.is_overdue() && endangered.contains(&state.listing.service) {
+                let is_required = round.is_overdue() && endangered.contains(&state.listing.service);
+                if is_required || is_unproven {
                     let offers = self.required_trial_width.offers();
                     round.start(TrialKind::Required, offers, now);
                 } else {
@@ -524,8 +536,23 @@
         }
     }
 
-    /// Mean of the average latencies of the usable instances of `service`, in milliseconds.
+    /// Mean of the average latencies of the usable instances of `service`, in milliseconds, as of
+    /// at most `MEAN_VALID_MS` ago.
     pub fn mean_latency_ms(&self, service: &str, now: ClockTime) -> f64 {
+        let known = self.mean_latencies.borrow().get(service).copied();
+        if let Some((mean_ms, at)) = known
+            && now.since(at) < MEAN_VALID_MS
+        {
+            return mean_ms;
+        }
+        let mean_ms = self.compute_mean_latency_ms(service, now);
+        self.mean_latencies
+            .borrow_mut()
+            .insert(service.into(), (mean_ms, now));
+        mean_ms
+    }
+
+    fn compute_mean_latency_ms(&self, service: &str, now: ClockTime) -> f64 {
         let (sum, count) = self
             .usable_members(service, now)
             .fold((0.0, 0u32), |(sum, count), (_, state)| {
--- a/crates/policy/src/trial_round.rs
+++ b/crates/policy/src/trial_round.rs
@@ -1,4 +1,4 @@
-//! Offers one suspected instance to hosts for a trial request.
+//! Offers one instance without recent requests to hosts for a trial request.
 //!
 //! A host may have no suitable request for seconds, so a hub offers a trial to
 //! several hosts at once, in rounds. It learns from outcomes and from reports
@@ -6,7 +6,7 @@
 
 use crocushoist_state::ClockTime;
 
-/// Suspected instance that a host may try.
+/// Instance that a host may try.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TrialOffer {
     /// Hash of the instance's id.
@@ -15,7 +15,7 @@
     pub is_required: bool,
 }
 
-/// Milliseconds after a response of a suspected instance at which the hub offers the next trial.
+/// Milliseconds after a response of an instance at which the hub offers the next trial.
 const INTERVAL_AFTER_RESPONSE_MS: u64 = 1_000;
 
 /// Milliseconds after a failure, or after a trial without a known outcome, likewise.
--- a/crates/policy/tests/floor_under_failures.rs
+++ b/crates/policy/tests/floor_under_failures.rs
@@ -14,6 +14,7 @@
 
 use crocushoist_policy::AttemptOutcome;
 use crocushoist_policy::InstanceKey;
+use crocushoist_policy::InstanceListing;
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::RetrySafety;
 use crocushoist_state::ClockTime;
@@ -159,3 +160,64 @@
         );
     }
 }
+
+#[test]
+fn new_instances_get_requests_while_they_warm_up() {
+    const HOSTS: usize = 62;
+    const INSTANCES: u64 = 32;
+    const NEW: u64 = 6;
+    for seed in 0..SEEDS {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let start = ClockTime::from_millis(BOOT_MS);
+        let mut hub = new_table(INSTANCES, start);
+        for index in 0..NEW {
+            let (_, state) = hub.iter().next().expect("instances are listed");
+            let listing = InstanceListing {
+                id: format!("new-{index}").into(),
+                warm_up_ms: 3_000,
+                ..state.listing.clone()
+            };
+            hub.apply_listing(INSTANCES + index, listing, start);
+        }
+        let mut hosts: Vec<InstanceTable> = vec![hub.clone(); HOSTS];
+        let mut was_tried = [false; NEW as usize];
+        for millis in 1..2_000 {
+            let now = start.plus(millis);
+            for (index, host) in hosts.iter_mut().enumerate() {
+                if millis % REPORT_INTERVAL_MS == index as u64 % REPORT_INTERVAL_MS {
+                    hub.record_trials(&host.take_used_trials(), now);
+                    for trial in hub.assign_trials(DATA_CENTRE, 2, now) {
+                        host.apply_trial(trial, now);
+                    }
+                }
+            }
+            if rng.random::<f64>() >= 0.122 {
+                continue;
+            }
+            let draws = (rng.random(), rng.random());
+            let host = &mut hosts[rng.random_range(0..HOSTS)];
+            let safety = RetrySafety::AtMostOnce;
+            let chosen = host.choose(
+                SERVICE,
+                DATA_CENTRE,
+                safety,
+                &[],
+                draws,
+                true,
+                |_| true,
+                now,
+            );
+            let key = chosen.expect("instances are listed");
+            host.release(key);
+            hub.record_outcome(key, AttemptOutcome::Good, LATENCY_MS, now);
+            if let Some(index) = (key.as_u32() as u64).checked_sub(INSTANCES) {
+                was_tried[index as usize] = true;
+            }
+        }
+        let share = was_tried.iter().filter(|tried| **tried).count() as f64 / NEW as f64;
+        assert!(
+            share >= FLOOR_SHARE,
+            "seed {seed}: {share:.2} of the new instances got a request"
+        );
+    }
+}
