Try instances that join, and let a host that reads go on for its hub

Trials are now offered of instances that joined while they warmed up and have no outcome.

Now a host whose read succeeded goes on every 0.4 s as long as its hub says that it does not read, and 1.5 in place of 0.5 hosts a check start to read the list.

--- a/crates/edge/src/config_reader.rs
+++ b/crates/edge/src/config_reader.rs
@@ -41,6 +41,9 @@
 /// store.
 const FETCH_GRACE_MS: u64 = 600;
 
+/// Mean number of hosts of a data centre that start a read at one check while the evidence is old.
+const READERS_PER_CHECK: f64 = 0.5;
+
 /// Milliseconds between checks whether this host must read the store.
 const CHECK_INTERVAL_MS: u64 = 100;
 
@@ -58,7 +61,7 @@
     let mut next_offset: Option<u64> = None;
     let mut backoff_ms = MIN_BACKOFF_MS;
     let mut is_reachable = true;
-    let mut pacer = StoreReadPacer::default();
+    let mut pacer = StoreReadPacer::new(READERS_PER_CHECK);
     loop {
         let wait_ms = if context.is_hub.get() {
             LONG_POLL_MS
--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -99,6 +99,10 @@
     pub(crate) instances: RefCell<InstanceTable>,
     /// Time up to which this host knows every change of the instance list.
     pub(crate) listing_synced_at: Cell<Option<ClockTime>>,
+    /// When this host last read the instance list from the store.
+    pub(crate) listing_read_at: Cell<Option<ClockTime>>,
+    /// Whether the hub of this host reads the instance list from the store.
+    pub(crate) hub_reads_listing: Cell<bool>,
     /// Admission gates, by the name of the workspace.
     pub(crate) workspace_gates: RefCell<HashMap<CompactString, WorkspaceGate>>,
     /// Shares that the hub assigned.
@@ -176,6 +180,8 @@
             evidence: RefCell::default(),
             instances: RefCell::default(),
             listing_synced_at: Cell::new(None),
+            listing_read_at: Cell::new(None),
+            hub_reads_listing: Cell::new(true),
             workspace_gates: RefCell::default(),
             assigned_shares: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -239,6 +245,12 @@
         age.is_none_or(|age| age > STALE_LISTING_MS)
     }
 
+    /// Whether this host reads the instance list from the store.
+    pub(crate) fn reads_listing(&self, now: ClockTime) -> bool {
+        let read_at = self.listing_read_at.get();
+        read_at.is_some_and(|at| now.since(at) <= STALE_LISTING_MS)
+    }
+
     /// Records that this host knows every change of the instance list before `at`.
     pub(crate) fn record_listing_sync(&self, at: ClockTime) {
         self.listing_synced_at
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -43,7 +43,7 @@
 
 /// Milliseconds by which a reporter's knowledge must be more recent than the hub's for the hub to
 /// fetch it.
-const MIN_FRESHER_MS: u64 = 600;
+const MIN_FRESHER_MS: u64 = 300;
 
 /// Maximum milliseconds by which a hub's instance list is older than this host's own without
 /// another hub being chosen. A slow store delays both lists.
@@ -225,6 +225,7 @@
         rows,
         listing_offset,
         listing_age: context.listing_age(now).filter(|_| is_complete),
+        reads_listing: context.reads_listing(now),
         needs_full_list: needs_full_list && context.listing_synced_at.get().is_some(),
         shares: shares.map(|shares| {
             let in_thousandths = |(workspace, share)| (workspace, (share * THOUSANDTHS) as u16);
@@ -268,6 +269,7 @@
             .record_peer_evidence(report_sent_at, age);
     }
     context.hub_answered_at.set(Some(now));
+    context.hub_reads_listing.set(answer.reads_listing);
     context.record_peer_version(hub, answer.config_version, now);
     if answer.needs_full_list {
         context.listing_source.set(Some(hub));
--- a/crates/edge/src/listing_reader.rs
+++ b/crates/edge/src/listing_reader.rs
@@ -28,6 +28,12 @@
 /// to leave; a read and an exchange with the hub must fit in that time.
 const READ_INTERVAL_MS: u64 = 500;
 
+/// Mean number of hosts of a data centre that start a read at one check while the list is old.
+///
+/// An instance may get new requests for two seconds after it starts to leave, and some of the
+/// reads fail.
+const READERS_PER_CHECK: f64 = 1.5;
+
 /// Milliseconds between checks whether this host must read the list.
 const CHECK_INTERVAL_MS: u64 = 150;
 
@@ -45,7 +51,7 @@
     let mut client = context.store_client(READ_TIMEOUT_MS);
     let mut has_full_list = false;
     let mut failures = 0u32;
-    let mut pacer = StoreReadPacer::default();
+    let mut pacer = StoreReadPacer::new(READERS_PER_CHECK);
     // Until then, entries that disappear count as lapsed, not as removed.
     let mut lapse_until: Option<ClockTime> = None;
     loop {
@@ -78,6 +84,7 @@
                 has_full_list = is_complete;
                 if is_complete {
                     context.record_listing_sync(requested_at);
+                    context.listing_read_at.set(Some(requested_at));
                 }
                 lapse_until = lapse_until_now;
                 if failures > 0 {
@@ -111,6 +118,9 @@
     if context.listing_synced_at.get().is_none() {
         return !context.awaits_hub(now) && pacer.is_due(ReadSharing::Alone, rand::random(), now);
     }
+    if !context.hub_reads_listing.get() && pacer.is_substitute(now) {
+        return true;
+    }
     context.is_listing_stale(now) && pacer.is_due(context.read_sharing(now), rand::random(), now)
 }
 
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -99,6 +99,8 @@
     /// Milliseconds since the hub knew every change of the instance list, `None` if `rows` leaves
     /// some out.
     pub(crate) listing_age: Option<u64>,
+    /// Whether the hub reads the instance list from the store.
+    pub(crate) reads_listing: bool,
     /// Whether the reporter must fetch the whole list, because the hub does not know or relay all
     /// changes since the reporter's offset.
     pub(crate) needs_full_list: bool,
--- a/crates/policy/src/estimate_feed.rs
+++ b/crates/policy/src/estimate_feed.rs
@@ -16,7 +16,7 @@
 use crate::InstanceTable;
 
 /// Minimum interval in milliseconds between searches for changes.
-const SEARCH_INTERVAL_MS: u64 = 40;
+const SEARCH_INTERVAL_MS: u64 = 10;
 
 /// Number of answers after which each instance has been described.
 const ANSWERS_PER_TURN: usize = 32;
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -61,6 +61,10 @@
     last_unreachable_at: Option<ClockTime>,
     /// Time of the last failure seen by this host.
     last_failure_at: Option<ClockTime>,
+    /// Whether any outcome is known.
+    was_tried: bool,
+    /// Whether the instance was warming up when it was first listed.
+    joined_cold: bool,
     /// At the hub: offers of trials to hosts.
     pub(crate) trial_round: TrialRound,
     /// Trial that the hub offered to this host, with the time at which the offer ends.
@@ -96,6 +100,8 @@
             unreachable_backoff_ms: MIN_UNREACHABLE_BACKOFF_MS,
             last_unreachable_at: None,
             last_failure_at: None,
+            was_tried: false,
+            joined_cold: listing.warm_up_ms > 0,
             trial_round: TrialRound::new(now),
             trial: None,
             has_used_trial: false,
@@ -181,6 +187,7 @@
         latency_ms: u64,
         now: ClockTime,
     ) {
+        self.was_tried = true;
         self.estimate.record_outcome(outcome, now);
         match outcome {
             AttemptOutcome::Good => self.counts.good += 1,
@@ -202,6 +209,7 @@
 
     /// At the hub: records outcomes that other hosts reported.
     pub(crate) fn record_outcome_counts(&mut self, counts: &OutcomeCounts, now: ClockTime) {
+        self.was_tried = true;
         if counts.unreachable > 0 {
             self.last_unreachable_at = Some(now);
         }
@@ -224,6 +232,11 @@
         }
     }
 
+    /// Whether the instance was listed while it warmed up and has no outcome yet.
+    pub(crate) fn is_new(&self) -> bool {
+        self.joined_cold && !self.was_tried
+    }
+
     /// Accepts a trial that the hub offered to this host.
     pub(crate) fn apply_trial(&mut self, offer: TrialOffer, now: ClockTime) {
         self.trial = Some((offer, now.plus(OFFER_VALID_MS)));
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -49,10 +49,6 @@
 /// The users' platform requires requests to the healthy instances from a tenth on.
 const REQUIRED_TRIAL_SHARE: f64 = 0.09;
 
-/// Fault probability up to which an instance did not fail lately; just above the one of an instance
-/// without any outcome.
-const UNPROVEN_PROBABILITY: f64 = 0.105;
-
 /// Milliseconds after an answer of a hub during which its offers replace random trials.
 const OFFERS_EXPECTED_MS: u64 = 1_000;
 
@@ -301,9 +297,9 @@
     /// At the hub: trials of up to `max_count` instances of `data_centre` to offer to a host.
     ///
     /// If hosts only selected by cost or at random, some instances would get no request for
-    /// seconds. A trial of an instance that did not fail lately, such as a new one, takes any
-    /// request. Those of other ones take requests that may run again, and any request while many
-    /// requests of the service fail.
+    /// seconds. Trials are for new instances, which take any request, and for suspected ones. Those
+    /// take requests that may run again. If none comes while many requests of the service fail,
+    /// they take any request too.
     pub fn assign_trials(
         &mut self,
         data_centre: &str,
@@ -322,7 +318,11 @@
             if !is_candidate {
                 continue;
             }
-            let is_unproven = state.fault_probability(now) <= UNPROVEN_PROBABILITY;
+            let is_new = state.is_new();
+            let is_suspected = state.fault_probability(now) >= SUSPECT_PROBABILITY;
+            if !is_new && !is_suspected {
+                continue;
+            }
             let round = &mut state.trial_round;
             if round.is_over(now) {
                 match round.open_kind() {
@@ -330,8 +330,8 @@
                     Some(TrialKind::Optional) => self.trial_width.record_unused(),
                     None => {}
                 }
-                let is_required = round.is_overdue() && endangered.contains(&state.listing.service);
-                if is_required || is_unproven {
+                let is_endangered = endangered.contains(&state.listing.service);
+                if is_new || (round.is_overdue() && is_endangered) {
                     let offers = self.required_trial_width.offers();
                     round.start(TrialKind::Required, offers, now);
                 } else {
--- a/crates/policy/tests/store_herd.rs
+++ b/crates/policy/tests/store_herd.rs
@@ -16,6 +16,9 @@
 /// Length in milliseconds of the outage that is played.
 const OUTAGE_MS: u64 = 5_000;
 
+/// Mean number of hosts that start a read at one check.
+const READERS_PER_CHECK: f64 = 0.5;
+
 fn at(millis: u64) -> ClockTime {
     ClockTime::from_millis(100_000 + millis)
 }
@@ -23,7 +26,7 @@
 /// Number of reads that `hosts` hosts start while every read fails.
 fn reads_during_outage(hosts: usize, sharing: impl Fn(usize) -> ReadSharing, seed: u64) -> usize {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut pacers = vec![StoreReadPacer::default(); hosts];
+    let mut pacers = vec![StoreReadPacer::new(READERS_PER_CHECK); hosts];
     let mut reads = 0;
     for millis in (0..OUTAGE_MS).step_by(CHECK_INTERVAL_MS as usize) {
         for pacer in &mut pacers {
@@ -50,7 +53,7 @@
     let mut late = 0;
     for seed in 0..200 {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let pacer = StoreReadPacer::default();
+        let pacer = StoreReadPacer::new(READERS_PER_CHECK);
         let checks = 10;
         let is_read = (0..checks * hosts)
             .any(|_| pacer.is_due(ReadSharing::Hub(hosts), random.random(), at(0)));
@@ -67,3 +70,19 @@
     let idle = reads_during_outage(1, |_| ReadSharing::AloneAndIdle, 1);
     assert_eq!(idle, 2);
 }
+
+#[test]
+fn host_whose_read_succeeded_goes_on_in_place_of_its_hub() {
+    let mut pacer = StoreReadPacer::new(READERS_PER_CHECK);
+    assert!(!pacer.is_substitute(at(0)));
+    pacer.record_read(true, at(0));
+    assert!(!pacer.is_substitute(at(100)));
+    assert!(pacer.is_substitute(at(500)));
+    pacer.record_read(false, at(500));
+    assert!(!pacer.is_substitute(at(1_000)));
+    pacer.record_read(true, at(1_500));
+    assert!(
+        !pacer.is_substitute(at(4_000)),
+        "a read long ago shows nothing"
+    );
+}
