--- a/crates/edge/src/peer_fetch.rs
+++ b/crates/edge/src/peer_fetch.rs
@@ -8,12 +8,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use compio::time::sleep;
 use displaydoc::Display;
 use serde::de::DeserializeOwned;
 use slog::info;
 
-use bytes::Bytes;
 use crocushoist_state::ClockTime;
 use crocushoist_transport::HttpClient;
 use crocushoist_transport::TransportError;
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -32,8 +32,8 @@
 use crate::instance_selector::prefer_past_backoff;
 use crate::name_hash;
 use crate::service_counts::ServiceLoad;
+use crate::trial_offers::TrialOffers;
 use crate::trial_round::TrialKind;
-use crate::trial_width::TrialWidth;
 
 /// Latency in milliseconds that is assumed before the first response of a service.
 const INITIAL_LATENCY_MS: f64 = 250.0;
@@ -74,10 +74,8 @@
     service_loads: HashMap<u32, ServiceLoad>,
     /// Time until which a hub offers trials, so that this host selects none at random.
     trials_offered_until: ClockTime,
-    /// Number of hosts to which a round offers one trial.
-    trial_width: TrialWidth,
-    /// Number of hosts to which a round offers one required trial.
-    required_trial_width: TrialWidth,
+    /// At the hub: offers of trials to hosts.
+    trial_offers: TrialOffers,
     /// Offset from which on every removal was applied. A full list does not contain earlier ones.
     removals_known_from: u64,
 }
@@ -323,22 +321,14 @@
             if !is_new && !is_suspected {
                 continue;
             }
+            let is_endangered = endangered.contains(&state.listing.service);
             let round = &mut state.trial_round;
-            if round.is_over(now) {
-                match round.open_kind() {
-                    Some(TrialKind::Required) => self.required_trial_width.record_unused(),
-                    Some(TrialKind::Optional) => self.trial_width.record_unused(),
-                    None => {}
-                }
-                let is_endangered = endangered.contains(&state.listing.service);
-                if is_new || (round.is_overdue() && is_endangered) {
-                    let offers = self.required_trial_width.offers();
-                    round.start(TrialKind::Required, offers, now);
-                } else {
-                    round.start(TrialKind::Optional, self.trial_width.offers(), now);
-                }
-            }
-            if let Some(kind) = round.take_offer() {
+            let kind = if is_new || (round.is_overdue() && is_endangered) {
+                TrialKind::Required
+            } else {
+                TrialKind::Optional
+            };
+            if let Some(kind) = self.trial_offers.next_offer(round, kind, now) {
                 offers.push(TrialOffer {
                     instance: state.hash,
                     is_required: kind == TrialKind::Required,
@@ -429,11 +419,7 @@
     /// Records a request to the instance `key` for the offers of trials.
     fn record_tried(&mut self, key: InstanceKey, has_response: bool, now: ClockTime) {
         let round = &mut self.instances[key].trial_round;
-        match round.record_tried(has_response, now) {
-            Some(TrialKind::Required) => self.required_trial_width.record_used(),
-            Some(TrialKind::Optional) => self.trial_width.record_used(),
-            None => {}
-        }
+        self.trial_offers.record_tried(round, has_response, now);
     }
 
     /// Ends a request in flight.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 mod route_index;
 mod service_counts;
 mod store_read_pacer;
+mod trial_offers;
 mod trial_round;
 mod trial_width;
 mod window_limit;
