Keep the handlers of signals installed as long as the process runs

Callers saw requests in progress end with a closed connection and no response when a host got a second SIGTERM, or SIGHUP again and again. Cause: the runtime's listener restores the default action when it completes, and the host awaited one listener for each signal, so nothing handled the next one: never after the first SIGTERM, for microseconds after each SIGHUP. The earlier host had no handler of SIGHUP at all. Evidence: SigCgt loses 0x4000 after the first SIGTERM; the process died after 647 and 661 SIGHUP. Change: ProcessSignal registers a second listener that nobody awaits, from before the settings are read to the end of the process; both hosts use it. A handler that is never the last one to go cannot fall back to the default action. Ruled out: a pipe of our own (a second mechanism beside the runtime's).

--- a/crates/daemon/src/host_daemon.rs
+++ b/crates/daemon/src/host_daemon.rs
@@ -6,6 +6,7 @@
 use slog::Logger;
 use slog::info;
 
+use crocushoist_transport::ProcessSignal;
 use crocushoist_transport::TransportError;
 use crocushoist_transport::listen_on;
 use crocushoist_transport::serve_http;
@@ -26,6 +27,7 @@
 use crate::shard_manager::manage_shards;
 use crate::snapshot_writer::write_snapshots;
 
+const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 const MAX_CALLER_CONNECTIONS: usize = 8_192;
 const MAX_ADMIN_CONNECTIONS: usize = 256;
@@ -61,11 +63,19 @@
         .build()
         .map_err(DaemonError::Runtime)?;
     let _timers = timers.enter();
+    let stop = ProcessSignal::listen(SIGTERM).map_err(DaemonError::Signal)?;
+    // Without a handler, a reload signal would end the process.
+    let reload = ProcessSignal::listen(SIGHUP).map_err(DaemonError::Signal)?;
     let runtime = compio::runtime::Runtime::new().map_err(DaemonError::Runtime)?;
-    runtime.block_on(serve(settings, logger))
+    runtime.block_on(serve(settings, logger, stop, reload))
 }
 
-async fn serve(settings: HostSettings, logger: Logger) -> Result<(), DaemonError> {
+async fn serve(
+    settings: HostSettings,
+    logger: Logger,
+    mut stop: ProcessSignal,
+    reload: ProcessSignal,
+) -> Result<(), DaemonError> {
     let callers = listen_on(settings.listen_callers).await?;
     let peers = listen_on(settings.listen_peers).await?;
     let admin = listen_on(settings.admin).await?;
@@ -98,13 +108,22 @@
         MAX_CALLER_CONNECTIONS,
         move |address, request| handle_request(Rc::clone(&caller_context), address, request),
     ));
-    compio::signal::unix::signal(SIGTERM)
-        .await
-        .map_err(DaemonError::Signal)?;
+    spawn(log_reloads(Rc::clone(&context), reload));
+    stop.received().await.map_err(DaemonError::Signal)?;
     stop_host(&context).await;
     Ok(())
 }
 
+/// Logs reload signals; settings are read at the start only.
+async fn log_reloads(context: SharedContext, mut reload: ProcessSignal) {
+    while reload.received().await.is_ok() {
+        info!(
+            context.logger,
+            "reload signal ignored; settings are read at the start"
+        );
+    }
+}
+
 fn spawn(task: impl Future<Output = ()> + 'static) {
     compio::runtime::spawn(task).detach();
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,6 +10,7 @@
 
 use crocushoist_edge::edge_host::run_edge;
 use crocushoist_edge::edge_settings::EdgeSettings;
+use crocushoist_edge::host_signals::HostSignals;
 use crocushoist_settings::SettingsError;
 use crocushoistd::host_daemon::run_host;
 use crocushoistd::host_settings::HostSettings;
@@ -49,10 +50,15 @@
 }
 
 fn run_on_platform(arguments: &DaemonArguments) -> ExitCode {
+    // The handlers come first, because a reload signal can arrive as soon as the process runs.
+    let signals = match HostSignals::listen() {
+        Ok(signals) => signals,
+        Err(error) => return exit_code(Err(error)),
+    };
     match EdgeSettings::load(&arguments.settings) {
         Err(errors) => reject_settings(&errors),
         Ok(_) if arguments.check => report_valid_settings(arguments),
-        Ok(settings) => exit_code(run_edge(&arguments.settings, settings)),
+        Ok(settings) => exit_code(run_edge(&arguments.settings, settings, signals)),
     }
 }
 
--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -22,6 +22,7 @@
 
 use crocushoist_platform::names;
 use crocushoist_state::ClockTime;
+use crocushoist_transport::ProcessSignal;
 use crocushoist_transport::ResponseBody;
 use crocushoist_transport::TransportError;
 use crocushoist_transport::listen_on;
@@ -36,6 +37,7 @@
 use crate::edge_log::new_logger;
 use crate::edge_settings::EdgeSettings;
 use crate::graceful_stop::stop_gracefully;
+use crate::host_signals::HostSignals;
 use crate::listing_reader::follow_listing;
 use crate::peer_fetch::fetch_from_peers;
 use crate::peer_server::handle_peer_request;
@@ -43,9 +45,6 @@
 use crate::request_handler::handle_request;
 use crate::roster_sync::sync_roster;
 
-const SIGHUP: i32 = 1;
-const SIGTERM: i32 = 15;
-
 /// Maximum open connections of callers; a third of the file descriptors that a host may have.
 const MAX_CALLER_CONNECTIONS: usize = 1_300;
 
@@ -79,15 +78,21 @@
 }
 
 /// Runs the host with the settings file at `path` until the process gets a stop signal.
-pub fn run_edge(path: &str, settings: EdgeSettings) -> Result<(), EdgeError> {
+pub fn run_edge(path: &str, settings: EdgeSettings, signals: HostSignals) -> Result<(), EdgeError> {
     let (logger, guard) = new_logger(&settings.name, settings.log_level);
     let runtime = compio::runtime::Runtime::new().map_err(EdgeError::Runtime)?;
-    let outcome = runtime.block_on(serve(path, settings, logger));
+    let outcome = runtime.block_on(serve(path, settings, signals, logger));
     drop(guard);
     outcome
 }
 
-async fn serve(path: &str, settings: EdgeSettings, logger: Logger) -> Result<(), EdgeError> {
+async fn serve(
+    path: &str,
+    settings: EdgeSettings,
+    signals: HostSignals,
+    logger: Logger,
+) -> Result<(), EdgeError> {
+    let HostSignals { mut stop, reload } = signals;
     let callers = listen_on(settings.caller_address).await?;
     let ready = listen_on(settings.readiness_address).await?;
     let directory = listen_on(settings.directory_address).await?;
@@ -116,7 +121,11 @@
     spawn(follow_listing(Rc::clone(&context)));
     spawn(sync_roster(Rc::clone(&context)));
     spawn(run_maintenance(Rc::clone(&context)));
-    spawn(reload_on_signal(Rc::clone(&context), path.to_owned()));
+    spawn(reload_on_signal(
+        Rc::clone(&context),
+        reload,
+        path.to_owned(),
+    ));
     for listener in [ready, directory, metrics] {
         let shared = Rc::clone(&context);
         spawn(serve_http(
@@ -133,9 +142,8 @@
         MAX_CALLER_CONNECTIONS,
         move |_, request| handle_request(Rc::clone(&shared), request),
     ));
-    compio::signal::unix::signal(SIGTERM)
-        .await
-        .map_err(EdgeError::Signal)?;
+    stop.received().await.map_err(EdgeError::Signal)?;
+    spawn(log_repeated_stops(Rc::clone(&context), stop));
     stop_gracefully(&context).await;
     Ok(())
 }
@@ -185,9 +193,9 @@
 }
 
 /// Checks the settings file again on each reload signal; changes take effect at the next start.
-async fn reload_on_signal(context: SharedContext, path: String) {
+async fn reload_on_signal(context: SharedContext, mut reload: ProcessSignal, path: String) {
     loop {
-        if let Err(error) = compio::signal::unix::signal(SIGHUP).await {
+        if let Err(error) = reload.received().await {
             warn!(context.logger, "cannot wait for the reload signal"; "cause" => %error);
             return;
         }
@@ -205,6 +213,13 @@
     }
 }
 
+/// Logs stop signals that arrive while the host stops; they change nothing.
+async fn log_repeated_stops(context: SharedContext, mut stop: ProcessSignal) {
+    while stop.received().await.is_ok() {
+        info!(context.logger, "stop signal ignored; the host is stopping");
+    }
+}
+
 fn spawn(task: impl Future<Output = ()> + 'static) {
     compio::runtime::spawn(task).detach();
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod edge_host;
 pub mod edge_settings;
+pub mod host_signals;
 
 mod address_handler;
 mod buffered_response;
