Send signals, stops and restarts of the soak in series

What callers saw: requests that a host had forwarded ended with a closed connection around a SIGTERM of that host. The soak kept all its promises: it sends each signal once and alone, 18 callers with requests of 20 ms have hardly any in progress when a host exits, and its check excused every request around a planned stop that no instance had executed.

Change: `--series` draws signals to stopping hosts, series of SIGHUP, rolling stops, stops during a start, before a kill or around a pause, stops of whichever host runs longest, failing instances and restarts of all hosts, from a random stream of its own. Callers use open connections until they close; their requests keep instances at work for 20 to 1,500 ms, and instances reject what they cannot execute. Instances log what arrives, from whom and until when.

Checks, stated as the platform requires them: around a planned stop a missing response is excused only if the request crossed the close (200 ms after its last byte, reached no instance), its time was over, its instance's link closed, or an instance was still at work in the last second of the grace period; a stopping host does not answer in place of an instance at work; hosts do not count as ready 4 s after SIGTERM; an exit by a signal or with an error after SIGTERM counts as unexpected; retries are arrivals, including rejected ones, in any window, also one that begins before the load, against the calls of three windows. That check used the calls of its own window alone; the platform allows the fullest of three. A stopping host is killed after 6 s instead of 7 s. Reloads and changes of the configuration excuse nothing.

--- a/crates/soak/src/call_history.rs
+++ b/crates/soak/src/call_history.rs
@@ -5,6 +5,8 @@
 
 use std::ops::Range;
 
+use crocushoist_platform_standin::ArrivalResult;
+
 /// Outcome of a call for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallOutcome {
@@ -32,12 +34,46 @@
     pub workspace: &'static str,
     /// Index of the host that it was sent to.
     pub host: usize,
-    /// When it was sent, in milliseconds.
+    /// Whether the connection had carried an earlier response.
+    pub is_kept: bool,
+    /// When the caller began to send it or to connect, in milliseconds.
     pub sent_ms: u64,
+    /// When its last byte was sent, in milliseconds.
+    pub last_byte_ms: u64,
+    /// Milliseconds that the caller waits, or the route allows if that is less.
+    pub deadline_ms: u64,
     /// When its outcome was known, in milliseconds.
     pub ended_ms: u64,
     /// Outcome for the caller.
     pub outcome: CallOutcome,
+    /// Whether the host made the response itself.
+    pub is_from_host: bool,
+}
+
+/// Request that arrived at an instance, which may have rejected it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ArrivalRecord {
+    /// Id of the attempt.
+    pub attempt_id: String,
+    /// Index of the host that sent it.
+    pub host: usize,
+    /// Index of the instance.
+    pub instance: usize,
+    /// From its arrival until the instance had rejected or executed it, in milliseconds.
+    pub span_ms: Range<u64>,
+    /// What the instance did with it.
+    pub result: ArrivalResult,
+}
+
+/// Readiness check of a host by the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadyProbe {
+    /// Index of the host.
+    pub host: usize,
+    /// When it was made, in milliseconds.
+    pub at_ms: u64,
+    /// Whether the host said that it is ready.
+    pub is_ready: bool,
 }
 
 /// Execution of a request by an instance.
@@ -53,14 +89,14 @@
     pub started_ms: u64,
 }
 
-/// Time during which a host may leave requests without a response.
+/// Time during which a host is disturbed, or from its first SIGTERM until its exit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostOutage {
     /// Index of the host.
     pub host: usize,
     /// Begin and end, in milliseconds.
     pub span_ms: Range<u64>,
-    /// Whether the host was asked to stop, and so must still respond to forwarded requests.
+    /// Whether the host was asked to stop, which excuses few missing responses.
     pub is_planned: bool,
 }
 
@@ -71,6 +107,12 @@
     pub calls: Vec<CallRecord>,
     /// Executions by all instances.
     pub executions: Vec<ExecutionRecord>,
+    /// Requests that arrived at instances, including rejected ones.
+    pub arrivals: Vec<ArrivalRecord>,
+    /// Readiness checks, in the order in which they were made.
+    pub ready_probes: Vec<ReadyProbe>,
+    /// Instances whose link was closed, by index, and when, in milliseconds.
+    pub instance_cuts: Vec<(usize, Range<u64>)>,
     /// Outages that the run caused: hosts killed, paused or asked to stop.
     pub outages: Vec<HostOutage>,
     /// Workspace whose key was revoked, and when, in milliseconds.
--- a/crates/soak/src/caller_load.rs
+++ b/crates/soak/src/caller_load.rs
@@ -77,6 +77,7 @@
                 resolved_ms = fleet.now_ms();
             }
         }
+        let is_kept = idle_client.is_some();
         let (host, mut client) = match idle_client.take() {
             Some(host_and_client) => host_and_client,
             None if addresses.is_empty() => {
@@ -93,15 +94,20 @@
         let attempt_id = format!("{caller_index:04x}{call_number:012x}");
         let is_at_most_once = call_number % AT_MOST_ONCE_INTERVAL == 0;
         let sent_ms = fleet.now_ms();
-        let outcome = send_call(&mut client, &attempt_id, workspace, is_at_most_once).await;
+        let (outcome, is_from_host) =
+            send_call(&mut client, &attempt_id, workspace, is_at_most_once).await;
         fleet.history.borrow_mut().calls.push(CallRecord {
             attempt_id,
             is_at_most_once,
             workspace,
             host,
+            is_kept,
             sent_ms,
+            last_byte_ms: sent_ms,
             ended_ms: fleet.now_ms(),
+            deadline_ms: DEADLINE_MS,
             outcome,
+            is_from_host,
         });
         if matches!(outcome, CallOutcome::Responded { .. }) {
             idle_client = Some((host, client));
@@ -121,13 +127,13 @@
     }
 }
 
-/// Sends one call and classifies its outcome.
+/// Sends one call; returns its outcome and whether the host made the response itself.
 async fn send_call(
     client: &mut HttpClient,
     attempt_id: &str,
     workspace: &str,
     is_at_most_once: bool,
-) -> CallOutcome {
+) -> (CallOutcome, bool) {
     let key = workspace_key(workspace);
     let request = CallerRequest {
         host_name: HOST_NAME,
@@ -142,11 +148,14 @@
         body: attempt_id.as_bytes(),
     };
     match request.send(client).await {
-        Ok(response) => CallOutcome::Responded {
-            status: response.status.as_u16(),
-            is_intact: request.is_intact(&response),
-        },
-        Err(TransportError::Connect { .. }) => CallOutcome::NotConnected,
-        Err(_) => CallOutcome::NoResponse,
+        Ok(response) => {
+            let outcome = CallOutcome::Responded {
+                status: response.status.as_u16(),
+                is_intact: request.is_intact(&response),
+            };
+            (outcome, !CallerRequest::is_signed(&response))
+        }
+        Err(TransportError::Connect { .. }) => (CallOutcome::NotConnected, false),
+        Err(_) => (CallOutcome::NoResponse, false),
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,7 +5,8 @@
 //! configuration changes. The store and the instances are stand-ins, reached
 //! through proxies that can delay, stall or close a connection, or stop
 //! forwarding in one direction. Callers keep a connection open until a call
-//! on it gets no response.
+//! on it gets no response. In the series mode, signals, stops and restarts
+//! follow each other and overlap, and more calls are in progress.
 //!
 //! After the faults, the calls that the callers sent are compared with the
 //! requests that the instances executed. Whatever contradicts a guarantee of
@@ -14,23 +15,29 @@
 
 mod call_history;
 mod caller_load;
+mod lasting_callers;
 mod link_proxy;
 mod promise_check;
+mod series_faults;
 mod soak_error;
 mod soak_fleet;
 mod soak_plan;
 mod soak_run;
+mod stop_check;
 
+pub use call_history::ArrivalRecord;
 pub use call_history::CallHistory;
 pub use call_history::CallOutcome;
 pub use call_history::CallRecord;
 pub use call_history::ExecutionRecord;
 pub use call_history::HostOutage;
+pub use call_history::ReadyProbe;
 pub use promise_check::BrokenPromise;
 pub use promise_check::check_promises;
 pub use soak_error::SoakError;
 pub use soak_plan::FaultKind;
 pub use soak_plan::PlannedFault;
+pub use soak_plan::SoakMode;
 pub use soak_plan::SoakPlan;
 pub use soak_plan::SoakSize;
 pub use soak_run::SoakReport;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,12 +10,25 @@
 use clap::Subcommand;
 
 use crocushoist_soak::SoakError;
+use crocushoist_soak::SoakMode;
 use crocushoist_soak::SoakSize;
 use crocushoist_soak::run_seed;
 
 /// Exit code when a run could not be completed; 1 means that a promise was broken.
 const EXIT_ERROR: u8 = 2;
 
+/// Default number of instances.
+const INSTANCES: usize = 6;
+
+/// Default number of callers.
+const CALLERS: usize = 18;
+
+/// Default number of instances in the series mode.
+const SERIES_INSTANCES: usize = 24;
+
+/// Default number of callers in the series mode.
+const SERIES_CALLERS: usize = 72;
+
 /// Runs a fleet of host processes under overlapping faults and checks its promises.
 #[derive(Debug, Parser)]
 #[command(name = "crocushoist-soak", version)]
@@ -54,15 +67,18 @@
 
 #[derive(Debug, Args)]
 struct RunOptions {
+    /// Sends signals, stops and restarts in series, with callers that keep their connections.
+    #[arg(long)]
+    series: bool,
     /// Number of host processes.
     #[arg(long, default_value_t = 6)]
     hosts: usize,
-    /// Number of instances.
-    #[arg(long, default_value_t = 6)]
-    instances: usize,
-    /// Number of callers.
-    #[arg(long, default_value_t = 18)]
-    callers: usize,
+    /// Number of instances [default: 6, with --series 24].
+    #[arg(long)]
+    instances: Option<usize>,
+    /// Number of callers [default: 18, with --series 72].
+    #[arg(long)]
+    callers: Option<usize>,
     /// Loopback network 127.N.0.0/16 to use; concurrent runs need different ones.
     #[arg(long, default_value_t = 90)]
     net: u8,
@@ -100,15 +116,20 @@
     seeds: impl IntoIterator<Item = u64>,
     options: &RunOptions,
 ) -> Result<usize, SoakError> {
+    let (mode, instances, callers) = if options.series {
+        (SoakMode::Series, SERIES_INSTANCES, SERIES_CALLERS)
+    } else {
+        (SoakMode::Single, INSTANCES, CALLERS)
+    };
     let size = SoakSize {
         hosts: options.hosts,
-        instances: options.instances,
-        callers: options.callers,
+        instances: options.instances.unwrap_or(instances),
+        callers: options.callers.unwrap_or(callers),
     };
     let (mut run_count, mut broken_count) = (0, 0);
     for seed in seeds {
         let runtime = compio::runtime::Runtime::new()?;
-        let report = runtime.block_on(run_seed(seed, size, options.net, &options.logs))?;
+        let report = runtime.block_on(run_seed(seed, mode, size, options.net, &options.logs))?;
         let (calls, served, executed) = report.counts;
         let result = if report.broken.is_empty() {
             "kept"
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -9,9 +9,13 @@
 
 use displaydoc::Display;
 
+use crate::ArrivalRecord;
 use crate::CallHistory;
 use crate::CallOutcome;
 use crate::CallRecord;
+use crate::stop_check::check_missing_response;
+use crate::stop_check::check_readiness;
+use crate::stop_check::check_replaced_response;
 
 /// Milliseconds after its revocation from which a key admits no request, as the platform requires.
 pub(crate) const REVOKE_MS: u64 = 5_000;
@@ -41,7 +45,7 @@
 const LIMIT_SLACK: f64 = 20.0;
 
 /// Milliseconds of the sliding window in which the retry budget holds, as the platform requires.
-const RETRY_WINDOW_MS: u64 = 10_000;
+const RETRY_WINDOW_MS: i64 = 10_000;
 
 /// Retries per call that the platform allows in a window.
 const RETRY_RATIO: f64 = 0.2;
@@ -49,9 +53,6 @@
 /// Retries that the platform allows in a window beyond the ratio.
 const RETRY_SLACK: f64 = 60.0;
 
-/// Milliseconds after an outage in which the platform excuses a host for missing responses.
-const OUTAGE_GRACE_MS: u64 = 3_000;
-
 /// Share of the calls of the last `RECOVERY_WINDOW_MS` that must be served.
 const MIN_RECOVERED_SHARE: f64 = 0.25;
 
@@ -78,9 +79,13 @@
     /// {0} requests of the limited workspace within a window from {1} ms on, {2} allowed
     LimitExceeded(usize, u64, usize),
     /// {0} retries within a window from {1} ms on, {2} allowed
-    RetryBudgetExceeded(usize, u64, usize),
-    /// host {1} sent no response: {0}
-    NoResponse(String, usize),
+    RetryBudgetExceeded(usize, i64, usize),
+    /// host {1} sent no response: {0}; {2}
+    NoResponse(String, usize, String),
+    /// host {1} responded to {0} after SIGTERM while an instance executed it; {2}
+    ReplacedAtStop(String, usize, String),
+    /// {0} of {1} hosts still counted as ready 4 s after SIGTERM
+    ReadyAfterStop(usize, usize),
     /// fleet did not recover: {0} of {1} calls served at the end
     NotRecovered(usize, usize),
     /// host {0} exited without being killed or asked to stop
@@ -120,13 +125,18 @@
             ));
         }
     }
+    let mut arrivals: HashMap<&str, Vec<&ArrivalRecord>> = HashMap::new();
+    for arrival in &history.arrivals {
+        let of_attempt = arrivals.entry(arrival.attempt_id.as_str()).or_default();
+        of_attempt.push(arrival);
+    }
     for call in &history.calls {
-        let executions = execution_counts
-            .get(call.attempt_id.as_str())
-            .copied()
-            .unwrap_or(0);
-        broken.extend(check_call(history, call, executions));
+        let attempt_id = call.attempt_id.as_str();
+        let executions = execution_counts.get(attempt_id).copied().unwrap_or(0);
+        let call_arrivals = arrivals.get(attempt_id).map_or(&[][..], Vec::as_slice);
+        broken.extend(check_call(history, call, executions, call_arrivals));
     }
+    broken.extend(check_readiness(history));
     broken.extend(check_limit(history));
     broken.extend(check_retries(history));
     broken.extend(check_recovery(history));
@@ -140,6 +150,7 @@
     history: &CallHistory,
     call: &CallRecord,
     executions: usize,
+    arrivals: &[&ArrivalRecord],
 ) -> Option<BrokenPromise> {
     let attempt_id = call.attempt_id.clone();
     if call.is_at_most_once && executions > 1 {
@@ -157,10 +168,8 @@
         CallOutcome::Responded {
             is_intact: false, ..
         } => Some(BrokenPromise::WrongResponse(attempt_id)),
-        CallOutcome::NoResponse if !is_excused(history, call, executions) => {
-            Some(BrokenPromise::NoResponse(attempt_id, call.host))
-        }
-        _ => None,
+        CallOutcome::NoResponse => check_missing_response(history, call, executions, arrivals),
+        _ => check_replaced_response(history, call, arrivals),
     }
 }
 
@@ -169,17 +178,6 @@
     matches!(status, 408 | 421 | 429 | 503)
 }
 
-/// Whether an outage excuses the missing response; a planned one only if nothing was executed.
-fn is_excused(history: &CallHistory, call: &CallRecord, executions: usize) -> bool {
-    history.outages.iter().any(|outage| {
-        outage.host == call.host
-            && (executions == 0 || !outage.is_planned)
-            // A kill and the end of the call that it cut off can fall into the same millisecond.
-            && outage.span_ms.start <= call.ended_ms
-            && call.sent_ms < outage.span_ms.end + OUTAGE_GRACE_MS
-    })
-}
-
 /// Checks the limit of the limited workspace, counting each attempt once.
 fn check_limit(history: &CallHistory) -> Option<BrokenPromise> {
     let window_s = LIMIT_WINDOW_MS as f64 / 1_000.0;
@@ -198,21 +196,57 @@
     (count > allowed).then_some(BrokenPromise::LimitExceeded(count, from_ms, allowed))
 }
 
-/// Checks the retries of the whole fleet: all executions of an attempt but one.
+/// Checks the retries of the whole fleet: all arrivals of an attempt at instances but the first.
+///
+/// A window's budget depends on the calls sent in it, in the window before it or in the window
+/// that begins half a window earlier, whichever has most.
 fn check_retries(history: &CallHistory) -> Option<BrokenPromise> {
-    let mut seen = HashSet::new();
-    let mut retries_ms: Vec<u64> = history
-        .executions
+    let mut sent_ms: Vec<i64> = history
+        .calls
         .iter()
-        .filter(|execution| !seen.insert(execution.attempt_id.as_str()))
-        .map(|execution| execution.started_ms)
+        .filter(|call| call.outcome != CallOutcome::NotConnected)
+        .map(|call| call.sent_ms as i64)
         .collect();
-    let (count, from_ms) = find_fullest_window(&mut retries_ms, RETRY_WINDOW_MS)?;
-    let window = from_ms..from_ms + RETRY_WINDOW_MS;
-    let sent = history.calls.iter();
-    let sent = sent.filter(|call| window.contains(&call.sent_ms)).count();
-    let allowed = (sent as f64 * RETRY_RATIO + RETRY_SLACK) as usize;
-    (count > allowed).then_some(BrokenPromise::RetryBudgetExceeded(count, from_ms, allowed))
+    sent_ms.sort_unstable();
+    let retries_ms = find_retries(history);
+    let last_ms = *retries_ms.last()?;
+    let mut worst: Option<(usize, usize, i64, usize)> = None;
+    for from_ms in -RETRY_WINDOW_MS..=last_ms {
+        let retries = count_within(&retries_ms, from_ms);
+        let sent = [0, RETRY_WINDOW_MS / 2, RETRY_WINDOW_MS]
+            .map(|earlier_ms| count_within(&sent_ms, from_ms - earlier_ms));
+        let sent = sent.into_iter().max().unwrap_or(0);
+        let allowed = (sent as f64 * RETRY_RATIO + RETRY_SLACK) as usize;
+        let excess = retries.saturating_sub(allowed);
+        if excess > 0 && worst.is_none_or(|(worst_excess, ..)| excess > worst_excess) {
+            worst = Some((excess, retries, from_ms, allowed));
+        }
+    }
+    let (_, retries, from_ms, allowed) = worst?;
+    Some(BrokenPromise::RetryBudgetExceeded(
+        retries, from_ms, allowed,
+    ))
+}
+
+/// Times of all arrivals but the first of each attempt, sorted.
+fn find_retries(history: &CallHistory) -> Vec<i64> {
+    let mut arrivals: Vec<(u64, &str)> = history
+        .arrivals
+        .iter()
+        .map(|arrival| (arrival.span_ms.start, arrival.attempt_id.as_str()))
+        .collect();
+    arrivals.sort_unstable();
+    let mut seen = HashSet::new();
+    arrivals.retain(|(_, attempt_id)| !seen.insert(*attempt_id));
+    let times = arrivals.into_iter();
+    times.map(|(arrived_ms, _)| arrived_ms as i64).collect()
+}
+
+/// Number of the sorted `times_ms` within the retry window that starts at `from_ms`.
+fn count_within(times_ms: &[i64], from_ms: i64) -> usize {
+    let until_ms = from_ms + RETRY_WINDOW_MS;
+    times_ms.partition_point(|time_ms| *time_ms < until_ms)
+        - times_ms.partition_point(|time_ms| *time_ms < from_ms)
 }
 
 /// Sorts `times_ms` and returns the count and start of the sliding window that holds most of them.
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,10 +27,13 @@
 use crocushoist_platform_standin::is_ready;
 use crocushoist_transport::TransportError;
 
+use crate::ArrivalRecord;
 use crate::CallHistory;
 use crate::ExecutionRecord;
 use crate::HostOutage;
+use crate::ReadyProbe;
 use crate::SoakError;
+use crate::SoakMode;
 use crate::SoakSize;
 use crate::caller_load::workspace_key;
 use crate::link_proxy::LinkProxy;
@@ -56,12 +60,30 @@
 /// Milliseconds that an instance takes for a request.
 const EXECUTION_MS: u64 = 20;
 
+/// Requests that an instance executes at once in the series mode.
+const MAX_EXECUTING: usize = 5;
+
+/// Milliseconds of the routes' timeout in the series mode.
+const SERIES_TIMEOUT_MS: u64 = 3_000;
+
+/// Milliseconds between two readiness checks of a host, as the platform makes them.
+const READY_INTERVAL_MS: u64 = 1_000;
+
+/// Milliseconds that a host may take for a readiness check.
+const READY_CHECK_MS: u64 = 900;
+
+/// Milliseconds after the start of a process in which a signal may end it at once.
+const START_MS: u64 = 1_000;
+
 /// Milliseconds within which all hosts must be ready after the start.
 const READY_TIMEOUT_MS: u64 = 15_000;
 
 /// Milliseconds between checks for ready hosts and for hosts that exited.
 const POLL_INTERVAL_MS: u64 = 100;
 
+/// Number of the signal SIGKILL.
+const SIGKILL: i32 = 9;
+
 /// Version of the first configuration.
 const FIRST_VERSION: u64 = 3;
 
@@ -73,10 +95,15 @@
     pub(crate) process: RefCell<HostProcess>,
     /// Number of active faults that keep the process down.
     pub(crate) down_count: Cell<u32>,
+    /// When the process was started, in milliseconds.
+    pub(crate) started_ms: Cell<u64>,
+    /// When the process was first asked to stop, in milliseconds, until its exit is recorded.
+    pub(crate) stop_asked_ms: Cell<Option<u64>>,
 }
 
 /// Store, instances, link proxies and host processes of one run.
 pub(crate) struct SoakFleet {
+    pub(crate) mode: SoakMode,
     pub(crate) size: SoakSize,
     pub(crate) store: Rc<StoreStandin>,
     pub(crate) instances: Vec<Rc<InstanceStandin>>,
@@ -107,7 +134,11 @@
 
 impl SoakFleet {
     /// Starts all parts in the loopback network 127.`net`.0.0/16 and waits until hosts are ready.
-    pub(crate) async fn start(net: u8, size: SoakSize) -> Result<Rc<Self>, SoakError> {
+    pub(crate) async fn start(
+        net: u8,
+        mode: SoakMode,
+        size: SoakSize,
+    ) -> Result<Rc<Self>, SoakError> {
         let directory_name = format!("crocushoist-soak-{net}-{}", std::process::id());
         let host_files = std::env::temp_dir().join(directory_name);
         std::fs::create_dir_all(&host_files)?;
@@ -118,6 +149,9 @@
         let mut instance_links = Vec::new();
         for index in 0..size.instances {
             let instance = new_instance(net, index);
+            if mode == SoakMode::Series {
+                instance.max_executing.set(MAX_EXECUTING);
+            }
             spawn_server(Rc::clone(&instance).serve());
             let instance_link = LinkProxy::new(instance.listed_address, instance.address);
             spawn_server(Rc::clone(&instance_link).serve());
@@ -128,7 +162,7 @@
         }
         let mut store_links = Vec::new();
         let mut hosts = Vec::new();
-        store.write_config(&new_config(FIRST_VERSION, true));
+        store.write_config(&new_config(FIRST_VERSION, mode, true));
         for index in 0..size.hosts {
             let link_address = SocketAddr::from(([127, net, 3, index as u8 + 1], STORE_PORT));
             let store_link = LinkProxy::new(link_address, store_address);
@@ -140,9 +174,12 @@
             hosts.push(SoakHost {
                 process: RefCell::new(process),
                 down_count: Cell::new(0),
+                started_ms: Cell::new(0),
+                stop_asked_ms: Cell::new(None),
             });
         }
         let fleet = Rc::new(SoakFleet {
+            mode,
             size,
             store,
             instances,
@@ -184,32 +221,100 @@
     pub(crate) fn write_next_config(&self, with_all_keys: bool) {
         self.config_version
             .set(self.config_version.get() + VERSION_STEP);
-        let config = new_config(self.config_version.get(), with_all_keys);
+        let config = new_config(self.config_version.get(), self.mode, with_all_keys);
         self.store.write_config(&config);
     }
 
-    /// Records an outage of a host from `from_ms` until now.
-    pub(crate) fn record_outage(&self, host: usize, from_ms: u64, is_planned: bool) {
+    /// Milliseconds after which hosts give up on a request.
+    pub(crate) fn route_timeout_ms(&self) -> u64 {
+        route_timeout_ms(self.mode)
+    }
+
+    /// Milliseconds from the start of the fleet until `at`.
+    pub(crate) fn ms_at(&self, at: Instant) -> u64 {
+        at.duration_since(self.started_at).as_millis() as u64
+    }
+
+    /// Records an unplanned outage of a host from `from_ms` until now.
+    pub(crate) fn record_outage(&self, host: usize, from_ms: u64) {
         let mut history = self.history.borrow_mut();
         history.outages.push(HostOutage {
             host,
             span_ms: from_ms..self.now_ms(),
-            is_planned,
+            is_planned: false,
+        });
+    }
+
+    /// Asks the process of a host to stop, and notes when it was first asked.
+    pub(crate) fn request_stop(&self, index: usize) -> std::io::Result<()> {
+        let host = &self.hosts[index];
+        if host.stop_asked_ms.get().is_none() {
+            host.stop_asked_ms.set(Some(self.now_ms()));
+        }
+        host.process.borrow_mut().request_stop()
+    }
+
+    /// Records the planned stop of a host whose process has ended; does nothing otherwise.
+    ///
+    /// An exit by another signal than SIGKILL or with an error counts as unexpected, unless the
+    /// process had just been started.
+    pub(crate) fn record_stop(&self, index: usize) {
+        let host = &self.hosts[index];
+        let Some(status) = host.process.borrow_mut().exit_status() else {
+            return;
+        };
+        let Some(asked_ms) = host.stop_asked_ms.take() else {
+            return;
+        };
+        let mut history = self.history.borrow_mut();
+        history.outages.push(HostOutage {
+            host: index,
+            span_ms: asked_ms..self.now_ms(),
+            is_planned: true,
         });
+        let is_killed = status.signal() == Some(SIGKILL);
+        if !status.success() && !is_killed && asked_ms >= host.started_ms.get() + START_MS {
+            history.unexpected_exits.push(index);
+        }
+    }
+
+    /// Starts the process of a host again after it has ended.
+    pub(crate) fn restart_host(&self, index: usize) -> std::io::Result<()> {
+        self.record_stop(index);
+        self.hosts[index].started_ms.set(self.now_ms());
+        self.hosts[index].process.borrow_mut().restart()
+    }
+
+    /// Checks the readiness of a host periodically until the run is over.
+    pub(crate) async fn probe_host(self: Rc<Self>, host: usize) {
+        let ready_address = self.hosts[host].process.borrow().addresses.ready();
+        while !self.is_over.get() {
+            let at_ms = self.now_ms();
+            let is_ready = is_ready(ready_address, READY_CHECK_MS).await;
+            self.history.borrow_mut().ready_probes.push(ReadyProbe {
+                host,
+                at_ms,
+                is_ready,
+            });
+            let passed_ms = self.now_ms() - at_ms;
+            sleep(Duration::from_millis(
+                READY_INTERVAL_MS.saturating_sub(passed_ms),
+            ))
+            .await;
+        }
     }
 
     /// Records and restarts hosts that exit while no fault keeps them down, until the run is over.
     pub(crate) async fn watch_hosts(self: Rc<Self>) {
         while !self.is_over.get() {
             for (index, host) in self.hosts.iter().enumerate() {
-                let mut process = host.process.borrow_mut();
-                if host.down_count.get() > 0 || !process.has_ended() {
+                if host.down_count.get() > 0 || !host.process.borrow_mut().has_ended() {
                     continue;
                 }
                 let mut history = self.history.borrow_mut();
                 history.unexpected_exits.push(index);
                 drop(history);
-                if let Err(error) = process.restart() {
+                if let Err(error) = self.restart_host(index) {
                     eprintln!("host {index} could not be restarted: {error}");
                 }
             }
@@ -217,22 +322,32 @@
         }
     }
 
-    /// Copies the executions that the instances recorded into the history.
+    /// Copies what the instances recorded into the history.
     pub(crate) fn collect_executions(&self) {
         let mut history = self.history.borrow_mut();
-        for instance in &self.instances {
+        for (index, instance) in self.instances.iter().enumerate() {
+            let arrivals = instance.arrivals.records();
+            history.arrivals.extend(arrivals.iter().map(|arrival| {
+                ArrivalRecord {
+                    attempt_id: arrival.attempt_id.clone(),
+                    host: self.host_at(SocketAddr::from((arrival.host, 0))),
+                    instance: index,
+                    span_ms: self.ms_at(arrival.arrived_at)
+                        ..arrival
+                            .ended_at
+                            .map_or(u64::MAX, |ended_at| self.ms_at(ended_at)),
+                    result: arrival.result,
+                }
+            }));
             let requests = instance.executed_requests.borrow();
-            history.executions.extend(requests.iter().map(|request| {
-                ExecutionRecord {
+            history
+                .executions
+                .extend(requests.iter().map(|request| ExecutionRecord {
                     attempt_id: request.attempt_id.clone(),
                     workspace: request.workspace.clone(),
                     received_key: request.received_key,
-                    started_ms: request
-                        .executed_at
-                        .duration_since(self.started_at)
-                        .as_millis() as u64,
-                }
-            }));
+                    started_ms: self.ms_at(request.executed_at),
+                }));
         }
     }
 
@@ -283,7 +398,7 @@
 }
 
 /// Creates the configuration `version`, without the revocable key unless `with_all_keys`.
-fn new_config(version: u64, with_all_keys: bool) -> StandinConfig {
+fn new_config(version: u64, mode: SoakMode, with_all_keys: bool) -> StandinConfig {
     let workspace = |name, rate, burst| StandinWorkspace {
         name,
         keys: vec![workspace_key(name)],
@@ -301,11 +416,19 @@
         version,
         host_name: HOST_NAME,
         service: SERVICE,
-        timeout_ms: DEADLINE_MS,
+        timeout_ms: route_timeout_ms(mode),
         workspaces,
     }
 }
 
+/// Milliseconds after which hosts give up on a request.
+fn route_timeout_ms(mode: SoakMode) -> u64 {
+    match mode {
+        SoakMode::Single => DEADLINE_MS,
+        SoakMode::Series => SERIES_TIMEOUT_MS,
+    }
+}
+
 /// Runs the server of a stand-in or link proxy until the process ends.
 fn spawn_server(server: impl Future<Output = Result<(), TransportError>> + 'static) {
     let server_task = async move {
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -28,6 +28,30 @@
 /// Largest number of faults in a run.
 const MAX_FAULTS: usize = 9;
 
+/// Random stream of the faults of the series mode; that of the other faults is 0.
+const SERIES_STREAM: u64 = 1;
+
+/// Bounds of the number of faults that only the series mode has.
+const SERIES_FAULTS: std::ops::RangeInclusive<usize> = 4..=8;
+
+/// Largest number of other faults in the series mode.
+const MAX_OTHER_FAULTS: usize = 3;
+
+/// Upper bound, exclusive, of the duration of a fault of the series mode, in milliseconds.
+const MAX_SERIES_MS: u64 = 6_000;
+
+/// Milliseconds in which a rolling stop asks all hosts to stop, at most.
+const MAX_ROLLING_MS: u64 = 12_000;
+
+/// Which faults and which callers a run has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakMode {
+    /// Faults of all kinds, each signal sent once.
+    Single,
+    /// Signals, stops and restarts in series, and callers that use connections until they close.
+    Series,
+}
+
 /// Size of the fleet and its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SoakSize {
@@ -74,6 +98,24 @@
     ConfigStorm,
     /// Operators revoke a key.
     KeyWithdrawn,
+    /// A host is asked to stop, then again and again, and to reload, at gaps from this seed.
+    StopSeries(usize, u32),
+    /// A host is instructed to reload again and again, at gaps up to these milliseconds.
+    ReloadSeries(usize, u64),
+    /// All hosts are asked to stop, one every so many milliseconds, and restarted.
+    RollingStop(u64),
+    /// A host is killed, restarted and asked to stop this many milliseconds later.
+    StopDuringStart(usize, u64),
+    /// A host is killed this many milliseconds after it was asked to stop.
+    StopThenKilled(usize, u64),
+    /// A host is paused for this many milliseconds, as long after it was asked to stop.
+    StopThenPaused(usize, u64),
+    /// Whichever host runs longest is stopped, again and again.
+    OldestStopped,
+    /// Half of the instances have the fault with this number, as in `InstanceFault`.
+    InstancesFault(u8),
+    /// All instances have this fault while all hosts are killed (true) or stopped, and after.
+    AllRestarted(u8, bool),
 }
 
 /// Fault with the time at which it happens.
@@ -110,6 +152,29 @@
         SoakPlan { faults }
     }
 
+    /// Draws the plan of the series mode for `seed` in a fleet of this size.
+    pub fn draw_series(seed: u64, size: SoakSize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(SERIES_STREAM);
+        let series_count = rng.random_range(SERIES_FAULTS);
+        let mut faults: Vec<PlannedFault> = (0..series_count)
+            .map(|_| PlannedFault {
+                start_ms: rng.random_range(MIN_START_MS..MAX_START_MS),
+                duration_ms: rng.random_range(MIN_DURATION_MS..MAX_SERIES_MS),
+                kind: draw_series_kind(&mut rng, size),
+            })
+            .collect();
+        for _ in 0..rng.random_range(0..=MAX_OTHER_FAULTS) {
+            faults.push(PlannedFault {
+                start_ms: rng.random_range(MIN_START_MS..MAX_START_MS),
+                duration_ms: rng.random_range(MIN_DURATION_MS..MAX_DURATION_MS),
+                kind: draw_kind(&mut rng, size),
+            });
+        }
+        faults.sort_by_key(|fault| fault.start_ms);
+        SoakPlan { faults }
+    }
+
     /// End of the last fault, in milliseconds after the start of the load.
     pub fn end_ms(&self) -> u64 {
         let ends = self.faults.iter();
@@ -139,3 +204,20 @@
         _ => FaultKind::KeyWithdrawn,
     }
 }
+
+fn draw_series_kind(rng: &mut ChaCha8Rng, size: SoakSize) -> FaultKind {
+    let host = rng.random_range(0..size.hosts);
+    let max_gap_ms = MAX_ROLLING_MS / size.hosts as u64;
+    match rng.random_range(0..13) {
+        0..=2 => FaultKind::StopSeries(host, rng.random()),
+        3 => FaultKind::ReloadSeries(host, rng.random_range(0..30)),
+        4 | 5 => FaultKind::RollingStop(rng.random_range(0..max_gap_ms)),
+        6 => FaultKind::StopDuringStart(host, rng.random_range(0..2_000)),
+        7 => FaultKind::StopThenKilled(host, rng.random_range(0..6_000)),
+        8 => FaultKind::StopThenPaused(host, rng.random_range(0..2_500)),
+        9 => FaultKind::OldestStopped,
+        10 => FaultKind::InstancesFault(rng.random_range(0..4)),
+        11 => FaultKind::AllRestarted(rng.random_range(0..4), rng.random_bool(0.5)),
+        _ => FaultKind::ConfigStorm,
+    }
+}
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -18,22 +18,23 @@
 use crate::FaultKind;
 use crate::PlannedFault;
 use crate::SoakError;
+use crate::SoakMode;
 use crate::SoakPlan;
 use crate::SoakSize;
 use crate::caller_load::run_caller;
 use crate::check_promises;
+use crate::lasting_callers::run_lasting_caller;
 use crate::link_proxy::LinkState;
 use crate::promise_check::LIMITED_WORKSPACE;
 use crate::promise_check::RECOVERY_MS;
 use crate::promise_check::RECOVERY_WINDOW_MS;
+use crate::series_faults::inject_series_fault;
 use crate::soak_fleet::REVOCABLE_WORKSPACE;
 use crate::soak_fleet::SoakFleet;
-
-/// Milliseconds after which a stopping host is killed; its own grace period is 6 s.
-const STOP_TIMEOUT_MS: u64 = 7_000;
+use crate::stop_check::GRACE_MS;
 
 /// Milliseconds between checks whether a stopping host has exited.
-const EXIT_POLL_MS: u64 = 100;
+const EXIT_POLL_MS: u64 = 20;
 
 /// Milliseconds between two configuration versions of `ConfigStorm`.
 const CONFIG_STORM_INTERVAL_MS: u64 = 120;
@@ -69,15 +70,29 @@
 /// if the fleet does not start or a host process cannot be controlled.
 pub async fn run_seed(
     seed: u64,
+    mode: SoakMode,
     size: SoakSize,
     net: u8,
     logs: &Path,
 ) -> Result<SoakReport, SoakError> {
-    let plan = SoakPlan::draw(seed, size);
-    let fleet = SoakFleet::start(net, size).await?;
+    let plan = match mode {
+        SoakMode::Single => SoakPlan::draw(seed, size),
+        SoakMode::Series => SoakPlan::draw_series(seed, size),
+    };
+    let fleet = SoakFleet::start(net, mode, size).await?;
     compio::runtime::spawn(Rc::clone(&fleet).watch_hosts()).detach();
+    for host in 0..size.hosts {
+        compio::runtime::spawn(Rc::clone(&fleet).probe_host(host)).detach();
+    }
     for caller_index in 0..size.callers {
-        compio::runtime::spawn(run_caller(Rc::clone(&fleet), seed, caller_index)).detach();
+        let fleet = Rc::clone(&fleet);
+        match mode {
+            SoakMode::Single => compio::runtime::spawn(run_caller(fleet, seed, caller_index)),
+            SoakMode::Series => {
+                compio::runtime::spawn(run_lasting_caller(fleet, seed, caller_index))
+            }
+        }
+        .detach();
     }
     let load_start_ms = fleet.now_ms();
     let fault_tasks: Vec<_> = plan
@@ -191,9 +206,14 @@
         }
         FaultKind::InstanceLink(instance, choice) => {
             let instance_link = &fleet.instance_links[instance];
+            let start_ms = fleet.now_ms();
             instance_link.state.set(link_state(choice));
             sleep_until(&fleet, end_ms).await;
             instance_link.state.set(LinkState::Open);
+            if link_state(choice) == LinkState::Closed {
+                let cut = (instance, start_ms..fleet.now_ms());
+                fleet.history.borrow_mut().instance_cuts.push(cut);
+            }
         }
         FaultKind::InstanceFault(instance, choice) => {
             let instance = &fleet.instances[instance];
@@ -221,47 +241,65 @@
                 .revoked_key
                 .get_or_insert((REVOCABLE_WORKSPACE, now_ms));
         }
+        series_fault => inject_series_fault(&fleet, series_fault, end_ms).await?,
     }
     Ok(())
 }
 
-async fn kill_hosts(fleet: &SoakFleet, hosts: &[usize], end_ms: u64) -> Result<(), SoakError> {
+/// Kills `hosts` and restarts them at `end_ms`, or at once if that is over.
+pub(crate) async fn kill_hosts(
+    fleet: &SoakFleet,
+    hosts: &[usize],
+    end_ms: u64,
+) -> Result<(), SoakError> {
     let start_ms = fleet.now_ms();
     for host in hosts {
         begin_downtime(fleet, *host);
+        // A process that had ended before stopped as planned.
+        fleet.record_stop(*host);
         fleet.hosts[*host].process.borrow_mut().kill()?;
+        fleet.record_stop(*host);
     }
     sleep_until(fleet, end_ms).await;
     for host in hosts {
-        fleet.record_outage(*host, start_ms, false);
+        fleet.record_outage(*host, start_ms);
         end_downtime(fleet, *host)?;
     }
     Ok(())
 }
 
-async fn pause_host(fleet: &SoakFleet, host: usize, end_ms: u64) -> Result<(), SoakError> {
+/// Pauses a host until `end_ms`.
+pub(crate) async fn pause_host(
+    fleet: &SoakFleet,
+    host: usize,
+    end_ms: u64,
+) -> Result<(), SoakError> {
     let start_ms = fleet.now_ms();
     fleet.hosts[host].process.borrow_mut().pause()?;
     sleep_until(fleet, end_ms).await;
     fleet.hosts[host].process.borrow_mut().resume()?;
-    fleet.record_outage(host, start_ms, false);
+    fleet.record_outage(host, start_ms);
     Ok(())
 }
 
-/// Asks a host to stop, kills it after `STOP_TIMEOUT_MS`, and restarts it at `end_ms` or later.
-async fn stop_host(fleet: &SoakFleet, host: usize, end_ms: u64) -> Result<(), SoakError> {
-    let start_ms = fleet.now_ms();
+/// Asks a host to stop, kills it after the grace period, and restarts it at `end_ms` or later.
+pub(crate) async fn stop_host(
+    fleet: &SoakFleet,
+    host: usize,
+    end_ms: u64,
+) -> Result<(), SoakError> {
     begin_downtime(fleet, host);
-    fleet.hosts[host].process.borrow_mut().request_stop()?;
+    fleet.request_stop(host)?;
     while !fleet.hosts[host].process.borrow_mut().has_ended() {
-        if fleet.now_ms() > start_ms + STOP_TIMEOUT_MS {
+        let asked_ms = fleet.hosts[host].stop_asked_ms.get();
+        if asked_ms.is_some_and(|asked_ms| fleet.now_ms() > asked_ms + GRACE_MS) {
             fleet.hosts[host].process.borrow_mut().kill()?;
             break;
         }
         sleep(Duration::from_millis(EXIT_POLL_MS)).await;
     }
+    fleet.record_stop(host);
     sleep_until(fleet, end_ms).await;
-    fleet.record_outage(host, start_ms, true);
     end_downtime(fleet, host)
 }
 
@@ -273,11 +311,11 @@
 
 /// Restarts a host, unless another fault still keeps it down or it runs already.
 fn end_downtime(fleet: &SoakFleet, host: usize) -> Result<(), SoakError> {
-    let host = &fleet.hosts[host];
-    host.down_count.set(host.down_count.get() - 1);
-    let mut process = host.process.borrow_mut();
-    if host.down_count.get() == 0 && process.has_ended() {
-        process.restart()?;
+    let down_count = &fleet.hosts[host].down_count;
+    down_count.set(down_count.get() - 1);
+    let has_ended = fleet.hosts[host].process.borrow_mut().has_ended();
+    if down_count.get() == 0 && has_ended {
+        fleet.restart_host(host)?;
     }
     Ok(())
 }
@@ -293,7 +331,7 @@
 }
 
 /// Instance fault for the number that an `InstanceFault` carries.
-fn instance_fault(choice: u8) -> InstanceFault {
+pub(crate) fn instance_fault(choice: u8) -> InstanceFault {
     match choice {
         0 => InstanceFault::Failing,
         1 => InstanceFault::Hanging,
@@ -304,7 +342,7 @@
 }
 
 /// Sleeps until the fleet's clock, `SoakFleet::now_ms`, reads `time_ms`.
-async fn sleep_until(fleet: &SoakFleet, time_ms: u64) {
+pub(crate) async fn sleep_until(fleet: &SoakFleet, time_ms: u64) {
     let remaining_ms = time_ms.saturating_sub(fleet.now_ms());
     sleep(Duration::from_millis(remaining_ms)).await;
 }
