--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -50,7 +50,8 @@
     },
     /// Runs the seeds listed in a file.
     File {
-        /// Seed file: one seed per line, optionally followed by a remark; # starts a comment line.
+        /// Seed file: one seed per line, after `series` for that mode, optionally followed by a
+        /// remark; # starts a comment line.
         path: PathBuf,
         #[command(flatten)]
         options: RunOptions,
@@ -101,33 +102,53 @@
 /// Runs the command and returns the number of seeds that broke a promise.
 fn run(arguments: SoakArguments) -> Result<usize, SoakError> {
     match arguments.command {
-        SoakCommand::Run { seeds, options } => run_seeds(parse_seeds(&seeds)?, &options),
+        SoakCommand::Run { seeds, options } => {
+            let mode = options.mode();
+            let seeds = parse_seeds(&seeds)?.into_iter();
+            run_seeds(seeds.map(|seed| (mode, seed)), &options)
+        }
         SoakCommand::File { path, options } => run_seeds(read_seeds(&path)?, &options),
         SoakCommand::Fresh { minutes, options } => {
             let deadline = Instant::now() + Duration::from_secs(minutes * 60);
-            let seeds = std::iter::repeat_with(|| u64::from(rand::random::<u32>()));
+            let mode = options.mode();
+            let seeds = std::iter::repeat_with(|| (mode, u64::from(rand::random::<u32>())));
             run_seeds(seeds.take_while(|_| Instant::now() < deadline), &options)
         }
     }
 }
 
+impl RunOptions {
+    /// Mode of the seeds that are not read from a file.
+    fn mode(&self) -> SoakMode {
+        if self.series {
+            SoakMode::Series
+        } else {
+            SoakMode::Single
+        }
+    }
+
+    /// Size of the fleet in `mode`.
+    fn size(&self, mode: SoakMode) -> SoakSize {
+        let (instances, callers) = match mode {
+            SoakMode::Single => (INSTANCES, CALLERS),
+            SoakMode::Series => (SERIES_INSTANCES, SERIES_CALLERS),
+        };
+        SoakSize {
+            hosts: self.hosts,
+            instances: self.instances.unwrap_or(instances),
+            callers: self.callers.unwrap_or(callers),
+        }
+    }
+}
+
 /// Runs seeds one after another and returns the number of those that broke a promise.
 fn run_seeds(
-    seeds: impl IntoIterator<Item = u64>,
+    seeds: impl IntoIterator<Item = (SoakMode, u64)>,
     options: &RunOptions,
 ) -> Result<usize, SoakError> {
-    let (mode, instances, callers) = if options.series {
-        (SoakMode::Series, SERIES_INSTANCES, SERIES_CALLERS)
-    } else {
-        (SoakMode::Single, INSTANCES, CALLERS)
-    };
-    let size = SoakSize {
-        hosts: options.hosts,
-        instances: options.instances.unwrap_or(instances),
-        callers: options.callers.unwrap_or(callers),
-    };
     let (mut run_count, mut broken_count) = (0, 0);
-    for seed in seeds {
+    for (mode, seed) in seeds {
+        let size = options.size(mode);
         let runtime = compio::runtime::Runtime::new()?;
         let report = runtime.block_on(run_seed(seed, mode, size, options.net, &options.logs))?;
         let (calls, served, executed) = report.counts;
@@ -136,7 +157,13 @@
         } else {
             "BROKEN"
         };
-        println!("seed {seed}: {result}, {calls} calls, {served} served, {executed} executed");
+        let prefix = match mode {
+            SoakMode::Single => "",
+            SoakMode::Series => "series ",
+        };
+        println!(
+            "{prefix}seed {seed}: {result}, {calls} calls, {served} served, {executed} executed"
+        );
         if !report.broken.is_empty() {
             for fault in &report.plan.faults {
                 println!(
@@ -164,16 +191,22 @@
     }
 }
 
-fn read_seeds(path: &std::path::Path) -> Result<Vec<u64>, SoakError> {
+fn read_seeds(path: &std::path::Path) -> Result<Vec<(SoakMode, u64)>, SoakError> {
     let seed_file_error = |cause: String| SoakError::SeedFile(path.display().to_string(), cause);
     let text = std::fs::read_to_string(path).map_err(|error| seed_file_error(error.to_string()))?;
     text.lines()
         .map(str::trim)
         .filter(|line| !line.is_empty() && !line.starts_with('#'))
         .map(|line| {
-            let seed = line.split_whitespace().next().unwrap_or_default();
-            seed.parse()
-                .map_err(|_| seed_file_error(format!("line {line:?} does not start with a seed")))
+            let (mode, rest) = match line.strip_prefix("series ") {
+                Some(rest) => (SoakMode::Series, rest),
+                None => (SoakMode::Single, line),
+            };
+            let seed = rest.split_whitespace().next().unwrap_or_default();
+            let seed = seed.parse().map_err(|_| {
+                seed_file_error(format!("line {line:?} does not start with a seed"))
+            })?;
+            Ok((mode, seed))
         })
         .collect()
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -123,7 +123,11 @@
         broken: check_promises(&history),
     };
     if !report.broken.is_empty() {
-        fleet.copy_host_files(&logs.join(format!("seed-{seed}")))?;
+        let name = match mode {
+            SoakMode::Single => format!("seed-{seed}"),
+            SoakMode::Series => format!("series-{seed}"),
+        };
+        fleet.copy_host_files(&logs.join(name))?;
     }
     Ok(report)
 }
