Name the requests that a stop cuts off

What callers saw around a planned stop were requests that a host had read and that ended with a closed connection. The log's `stopped` line had only how many requests were in progress at the exit, so it could not tell a process that ends too early from a connection that closes under a request.

Each request in progress at the exit now gets a line with its id, its age, when it was read relative to the start of the stop, and how many instances have not responded to it. A connection that is left without such a request was idle or had a response to write. No change of logic.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -35,6 +35,7 @@
 use crate::edge_metrics::EdgeMetrics;
 use crate::edge_settings::EdgeSettings;
 use crate::hub_rejection::HubRejection;
+use crate::request_progress::ProgressRegister;
 
 /// Milliseconds after which a call to the store without a long poll fails.
 pub(crate) const STORE_TIMEOUT_MS: u64 = 1_000;
@@ -154,8 +155,8 @@
     pub(crate) started_at: ClockTime,
     /// Whether the host is stopping.
     pub(crate) stopping: Cell<bool>,
-    /// Number of requests in progress.
-    pub(crate) in_progress: Cell<usize>,
+    /// Requests in progress.
+    pub(crate) in_progress: Rc<ProgressRegister>,
     /// Connections to the instances.
     pub(crate) upstreams: UpstreamPool,
     /// Metrics of this host.
@@ -210,7 +211,7 @@
             last_request_at: Cell::new(None),
             started_at: ClockTime::now(),
             stopping: Cell::new(false),
-            in_progress: Cell::new(0),
+            in_progress: Rc::default(),
             upstreams: UpstreamPool::new(Some(settings.caller_address.ip())),
             metrics: EdgeMetrics::default(),
             stop: StopSignal::default(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,5 +30,6 @@
 mod peer_tasks;
 mod request_forwarder;
 mod request_handler;
+mod request_progress;
 mod request_record;
 mod roster_sync;
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -29,6 +29,7 @@
 use crate::instance_attempt::AttemptInput;
 use crate::instance_attempt::AttemptResult;
 use crate::instance_attempt::send_attempt;
+use crate::request_progress::ProgressGuard;
 use crate::request_record::AttemptRecord;
 use crate::request_record::RequestRecord;
 
@@ -57,6 +58,8 @@
 pub(crate) struct RequestForwarder<'a> {
     /// Shared state of the host.
     pub(crate) context: &'a SharedContext,
+    /// Entry of the request among those in progress.
+    pub(crate) request: &'a ProgressGuard,
     /// Service that the request is for.
     pub(crate) service: CompactString,
     /// Whether the request is allowed to run more than once.
@@ -216,7 +219,10 @@
             deadline: self.deadline,
             slow_ms,
         };
-        let result = send_attempt(self.context, &mut guard, input).await;
+        let result = {
+            let _open_attempt = self.request.open_attempt();
+            send_attempt(self.context, &mut guard, input).await
+        };
         EndedAttempt {
             result,
             millis: guard.elapsed_ms(),
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -4,7 +4,6 @@
 //! order before the body is read. A request that cannot be served is refused at
 //! once.
 
-use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -42,6 +41,7 @@
 use crate::edge_refusal::EdgeRefusal;
 use crate::forward_head::ForwardHead;
 use crate::request_forwarder::RequestForwarder;
+use crate::request_progress::ProgressGuard;
 use crate::request_record::RequestRecord;
 
 /// Maximum request body in bytes that a host buffers; the operators' limit applies if it is
@@ -61,29 +61,19 @@
 const MIN_OVERLOAD_RETRY_DELAY_MS: u64 = 200;
 const MAX_OVERLOAD_RETRY_DELAY_MS: u64 = 700;
 
-/// Counts a request as in progress until dropped.
-struct InProgressGuard(SharedContext);
-
-impl Drop for InProgressGuard {
-    fn drop(&mut self) {
-        self.0.in_progress.set(self.0.in_progress.get() - 1);
-    }
-}
-
 /// Serves one request of a caller, then counts and logs the outcome.
 pub(crate) async fn handle_request(
     context: SharedContext,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    context.in_progress.set(context.in_progress.get() + 1);
-    let _guard = InProgressGuard(Rc::clone(&context));
     let arrived_at = Instant::now();
     context.last_request_at.set(Some(ClockTime::now()));
     let mut record = RequestRecord::default();
     record.id = header_text(request.headers(), names::ATTEMPT_ID_HEADER).into();
     record.config_version = context.config_version();
     record.evidence_age = context.evidence.borrow().age(ClockTime::now());
-    let served = serve_request(&context, request, arrived_at, &mut record).await;
+    let progress = context.in_progress.add(record.id.clone(), ClockTime::now());
+    let served = serve_request(&context, request, arrived_at, &progress, &mut record).await;
     let millis = arrived_at.elapsed().as_millis() as u64;
     let (outcome, mut response) = match served {
         Ok(response) => ("answered", response),
@@ -108,6 +98,7 @@
     context: &SharedContext,
     request: Request<Incoming>,
     arrived_at: Instant,
+    progress: &ProgressGuard,
     record: &mut RequestRecord,
 ) -> Result<Response<ResponseBody>, EdgeRefusal> {
     let (head, body) = request.into_parts();
@@ -142,6 +133,7 @@
         .ok_or(EdgeRefusal::new(EdgeReason::NoRoute))?;
     let forwarder = RequestForwarder {
         context,
+        request: progress,
         service: service.clone(),
         retry_safety: route.retry_safety,
         max_attempts: route.max_attempts,
