Take only what a stopping host can finish

What callers saw: a request that a host had read and forwarded ended with a closed connection and no response, about 5.3 s after a SIGTERM of the host.

Cause: a stopping host took every request until it closed its listener and its idle connections 1.8 s before the end of the grace period, and ended 0.7 s before that end, whatever was in progress. A request taken in that time that an instance held for longer than 1.1 s was cut off. Callers whose address look-ups fail, or that hold a connection, send so late.

Now a stop follows StopPlan: every request is taken in the first half of the grace period; then a request is taken only if its deadline comes before the end of the process, and is otherwise refused as not run, so that the caller can go to another host. StopSignal keeps the signal alone; ServerStop has the two steps of a server's stop and the count of connections. Refusals are counted as "stopping".

--- a/crates/daemon/src/host_context.rs
+++ b/crates/daemon/src/host_context.rs
@@ -17,7 +17,7 @@
 use crocushoist_state::breach;
 use crocushoist_transport::ByteMeter;
 use crocushoist_transport::LogClient;
-use crocushoist_transport::StopSignal;
+use crocushoist_transport::ServerStop;
 use crocushoist_transport::TransportError;
 use crocushoist_transport::UpstreamPool;
 
@@ -42,7 +42,7 @@
     /// Budget for retries.
     pub retry_budget: RefCell<RetryBudget>,
     /// Raised to close the connections of callers.
-    pub stop: StopSignal,
+    pub stop: ServerStop,
     /// Counts the bytes of control traffic.
     pub meter: ByteMeter,
     /// Logger of the host.
@@ -78,7 +78,7 @@
             metrics: HostMetrics::default(),
             upstreams: UpstreamPool::new(Some(settings.callers.ip())),
             retry_budget: RefCell::default(),
-            stop: StopSignal::default(),
+            stop: ServerStop::default(),
             meter: ByteMeter::default(),
             logger,
             started_at: ClockTime::now(),
--- a/crates/daemon/src/planned_stop.rs
+++ b/crates/daemon/src/planned_stop.rs
@@ -43,7 +43,7 @@
     while ClockTime::now().since(stop_started_at) < u64::from(ttl) + ANNOUNCEMENT_MS {
         sleep(Duration::from_millis(DRAIN_CHECK_MS)).await;
     }
-    context.stop.raise();
+    context.stop.close_connections();
     let drain_started_at = ClockTime::now();
     while context.stop.open_connections() > 0
         && ClockTime::now().since(drain_started_at) < MAX_DRAIN_MS
--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -29,7 +29,7 @@
 use crocushoist_policy::retry_pool_key;
 use crocushoist_policy::retry_pool_limit;
 use crocushoist_state::ClockTime;
-use crocushoist_transport::StopSignal;
+use crocushoist_transport::ServerStop;
 use crocushoist_transport::UpstreamPool;
 
 use crate::edge_metrics::EdgeMetrics;
@@ -153,16 +153,16 @@
     pub(crate) last_request_at: Cell<Option<ClockTime>>,
     /// Start of the process.
     pub(crate) started_at: ClockTime,
-    /// Whether the host is stopping.
-    pub(crate) stopping: Cell<bool>,
+    /// Start of the planned stop, `None` before it.
+    pub(crate) stop_started_at: Cell<Option<ClockTime>>,
     /// Requests in progress.
     pub(crate) in_progress: Rc<ProgressRegister>,
     /// Connections to the instances.
     pub(crate) upstreams: UpstreamPool,
     /// Metrics of this host.
     pub(crate) metrics: EdgeMetrics,
-    /// Raised to close the connections of callers.
-    pub(crate) stop: StopSignal,
+    /// Stop of the server of callers.
+    pub(crate) stop: ServerStop,
     /// Logger of this host.
     pub(crate) logger: Logger,
 }
@@ -210,11 +210,11 @@
             hub_answered_at: Cell::new(None),
             last_request_at: Cell::new(None),
             started_at: ClockTime::now(),
-            stopping: Cell::new(false),
+            stop_started_at: Cell::new(None),
             in_progress: Rc::default(),
             upstreams: UpstreamPool::new(Some(settings.caller_address.ip())),
             metrics: EdgeMetrics::default(),
-            stop: StopSignal::default(),
+            stop: ServerStop::default(),
             logger,
             settings,
         }
@@ -258,6 +258,11 @@
         read_at.is_some_and(|at| now.since(at) <= STALE_LISTING_MS)
     }
 
+    /// Whether the host is stopping.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop_started_at.get().is_some()
+    }
+
     /// Records that this host knows every change of the instance list before `at`.
     pub(crate) fn record_listing_sync(&self, at: ClockTime) {
         self.listing_synced_at
@@ -279,7 +284,7 @@
         let can_serve = self.config.borrow().is_some()
             && self.listing_synced_at.get().is_some()
             && self.knows_hosts.get();
-        is_recent && can_serve && !self.stopping.get()
+        is_recent && can_serve && !self.is_stopping()
     }
 
     /// Records that the host at `peer_address` has the configuration `version`.
--- a/crates/edge/src/edge_refusal.rs
+++ b/crates/edge/src/edge_refusal.rs
@@ -20,6 +20,8 @@
     NoHosts,
     /// The evidence that no configuration was missed is too old to admit a request with a key.
     StaleEvidence,
+    /// The host is stopping and may end before the deadline of the request.
+    Stopping,
     /// No route matches.
     NoRoute,
     /// The request has no key and the route needs one.
@@ -64,6 +66,7 @@
             EdgeReason::NoConfig => "no_config",
             EdgeReason::NoHosts => "no_hosts",
             EdgeReason::StaleEvidence => "stale_evidence",
+            EdgeReason::Stopping => "stopping",
             EdgeReason::NoRoute => "no_route",
             EdgeReason::KeyMissing => "key_missing",
             EdgeReason::KeyUnknown => "key_unknown",
@@ -90,6 +93,7 @@
             EdgeReason::NoConfig
             | EdgeReason::NoHosts
             | EdgeReason::StaleEvidence
+            | EdgeReason::Stopping
             | EdgeReason::Overloaded
             | EdgeReason::NoInstance
             | EdgeReason::RetriesExhausted
--- a/crates/edge/src/graceful_stop.rs
+++ b/crates/edge/src/graceful_stop.rs
@@ -1,8 +1,8 @@
 //! Graceful stop, which lets requests in progress finish.
 //!
 //! The host first disappears from the address lookups but keeps serving callers
-//! that cached its address. Shortly before its grace period ends, it closes
-//! idle connections, waits a limited time for requests in progress and exits.
+//! that cached its address. Then it closes its listener, and connections that
+//! are idle at the end; the times and what is still taken are in [`StopPlan`].
 
 use std::time::Duration;
 
@@ -10,41 +10,44 @@
 use slog::info;
 use slog::warn;
 
+use crocushoist_policy::StopPlan;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::EdgeContext;
 
-/// Milliseconds before the end of the grace period at which idle connections are closed.
-const CLOSE_BEFORE_MS: u64 = 1_800;
-
-/// Milliseconds before the end of the grace period at which the process ends at the latest.
-const EXIT_BEFORE_MS: u64 = 700;
-
-/// Milliseconds between checks of the time and the open connections.
+/// Milliseconds between checks of the open connections.
 const CHECK_INTERVAL_MS: u64 = 50;
 
 /// Maximum number of requests in progress at the end that are logged one by one.
 const MAX_LOGGED_REQUESTS: usize = 64;
 
-/// Stops the host. Returns when no connection is open or the grace period is over.
+/// Stops the host. Returns when no connection is open or the grace period is nearly over.
 pub(crate) async fn stop_gracefully(context: &EdgeContext) {
     let started_at = ClockTime::now();
-    let grace_ms = context.settings.grace_ms;
-    context.stopping.set(true);
-    info!(context.logger, "stopping"; "grace_ms" => grace_ms,
+    let plan = StopPlan::new(context.settings.grace_ms);
+    context.stop_started_at.set(Some(started_at));
+    info!(context.logger, "stopping"; "grace_ms" => context.settings.grace_ms,
         "in_progress" => context.in_progress.len());
-    let close_at = started_at.plus(grace_ms.saturating_sub(CLOSE_BEFORE_MS));
-    while ClockTime::now() < close_at {
-        sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-    }
-    context.stop.raise();
-    let end_at = started_at.plus(grace_ms.saturating_sub(EXIT_BEFORE_MS));
-    while context.stop.open_connections() > 0 && ClockTime::now() < end_at {
-        sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-    }
+    sleep_until(started_at.plus(plan.close_listener_ms())).await;
+    context.stop.close_listener();
+    wait_for_connections(context, started_at.plus(plan.close_idle_ms())).await;
+    context.stop.close_connections();
+    wait_for_connections(context, started_at.plus(plan.end_ms())).await;
     log_end(context, started_at);
 }
 
+/// Waits until no connection is open, at the longest until `deadline`.
+async fn wait_for_connections(context: &EdgeContext, deadline: ClockTime) {
+    while context.stop.open_connections() > 0 && ClockTime::now() < deadline {
+        let next_check = ClockTime::now().plus(CHECK_INTERVAL_MS);
+        sleep_until(next_check.min(deadline)).await;
+    }
+}
+
+async fn sleep_until(time: ClockTime) {
+    sleep(Duration::from_millis(time.since(ClockTime::now()))).await;
+}
+
 /// Logs the end of the stop and each request that it cuts off.
 fn log_end(context: &EdgeContext, started_at: ClockTime) {
     let now = ClockTime::now();
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -219,7 +219,7 @@
         number: report.number,
         is_follower: !context.is_hub.get(),
         hub: own_hub(context),
-        is_leaving: context.stopping.get(),
+        is_leaving: context.is_stopping(),
         config_version: context.config_version(),
         evidence_age: context.evidence.borrow().age(now),
         rows,
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -180,7 +180,7 @@
         }
         // Without a configuration after a while, this host does not reach the store. Another one may.
         let lacks_config = !self.context.can_be_hub() && !self.context.awaits_hub(now);
-        if self.context.stopping.get() || lacks_config {
+        if self.context.is_stopping() || lacks_config {
             roster.mark_unfit(self.context.own_host.peer_address, now);
         }
         let hub = roster
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -29,6 +29,7 @@
 use crocushoist_policy::GateDecision;
 use crocushoist_policy::RetrySafety;
 use crocushoist_policy::RouteSpec;
+use crocushoist_policy::StopPlan;
 use crocushoist_policy::WorkspaceGate;
 use crocushoist_policy::WorkspaceSpec;
 use crocushoist_state::ClockTime;
@@ -86,7 +87,7 @@
     let status = response.status().as_u16();
     count_for_service(&context, &record, response.status());
     record.log_end(&context.logger, outcome, status, millis, rand::random());
-    if context.stopping.get() {
+    if context.is_stopping() {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -109,9 +110,10 @@
     let key = presented_key(&head.headers);
     let route = find_route(context, &config, &head.headers, head.uri.path())?;
     record.route = route.name.clone();
-    let workspace = find_workspace(context, &config, route, key)?;
     let budget_ms = time_budget_ms(&head.headers, route);
     record.budget_ms = budget_ms;
+    check_stop(context, budget_ms)?;
+    let workspace = find_workspace(context, &config, route, key)?;
     let service = route
         .service_for(rand::random())
         .ok_or(EdgeRefusal::new(EdgeReason::NoInstance))?;
@@ -174,6 +176,21 @@
         .ok_or_else(|| stale_evidence_or(context, EdgeReason::NoRoute))
 }
 
+/// Refuses a request that a stopping host possibly cannot finish.
+fn check_stop(context: &EdgeContext, budget_ms: u64) -> Result<(), EdgeRefusal> {
+    let Some(started_at) = context.stop_started_at.get() else {
+        return Ok(());
+    };
+    let plan = StopPlan::new(context.settings.grace_ms);
+    if plan.admits(ClockTime::now().since(started_at), budget_ms) {
+        return Ok(());
+    }
+    Err(EdgeRefusal::with_retry_after(
+        EdgeReason::Stopping,
+        OTHER_HOST_RETRY_DELAY_MS,
+    ))
+}
+
 /// Workspace that the key belongs to, `None` on a route that needs no key.
 fn find_workspace<'a>(
     context: &EdgeContext,
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -21,17 +21,18 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 
-use crate::StopSignal;
+use crate::ServerStop;
 use crate::connect::close_when_unacknowledged;
 
-/// Serves every accepted connection with `handler` until `stop` is raised.
+/// Serves every accepted connection with `handler`, and accepts connections until `stop` closes
+/// the listener.
 ///
-/// Each connection that is still open then finishes its current request and
-/// closes. While `max_connections` are open, each further one is closed as soon
-/// as it is accepted.
+/// When `stop` closes the connections, each of them finishes its current
+/// request first. While `max_connections` are open, each further one is closed
+/// as soon as it is accepted.
 pub async fn serve_http<H, F, B>(
     listener: TcpListener,
-    stop: StopSignal,
+    stop: ServerStop,
     max_connections: usize,
     handler: H,
 ) where
@@ -44,7 +45,7 @@
     loop {
         let accepted = {
             let accept = pin!(listener.accept());
-            match select(accept, stop.raised()).await {
+            match select(accept, stop.listener_closed.raised()).await {
                 Either::Left((accepted, _)) => accepted,
                 Either::Right(_) => return,
             }
@@ -63,7 +64,7 @@
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
     address: SocketAddr,
-    stop: StopSignal,
+    stop: ServerStop,
     handler: Rc<H>,
 ) where
     H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
@@ -83,7 +84,7 @@
         .timer(CompioTimer)
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = pin!(connection);
-    if let Either::Right(_) = select(connection.as_mut(), stop.raised()).await {
+    if let Either::Right(_) = select(connection.as_mut(), stop.connections_closed.raised()).await {
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
