Send nothing to instances that say that they leave or want nothing

What callers saw: requests went on to an instance that said in its responses that it was leaving, as long as the list showed it as ready, and a host turned away with a time came back after 0.15 s. Callers of a service whose instances all refused were sent from one to the next. Cause: hosts knew of leaving from the list and from status 421 only. Ruled out: keeping it with the list's entry, which a lapse, a full list or another service replaces; notices stand apart, by hash of the id and start time. Change: from the head of such a response on, the host sends that start nothing, also if an attempt already waits for a connection. A hold binds the host that was told, and is no backoff: nothing falls back on it, no trial uses it. While every instance leaves or wants nothing, requests are refused before their body is read, with the time and a spread. Neither is a failure in the fault estimate. Not tested over real processes: the response that arrives while an attempt waits for a connection.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -150,6 +150,8 @@
     pub(crate) hub_answered_at: Cell<Option<ClockTime>>,
     /// When the last request of a caller arrived.
     pub(crate) last_request_at: Cell<Option<ClockTime>>,
+    /// When this host last logged that an instance sent an unreadable header.
+    pub(crate) unreadable_signal_logged_at: Cell<Option<ClockTime>>,
     /// Start of the process.
     pub(crate) started_at: ClockTime,
     /// Whether the host is stopping.
@@ -208,6 +210,7 @@
             hub_known_since: Cell::new(None),
             hub_answered_at: Cell::new(None),
             last_request_at: Cell::new(None),
+            unreadable_signal_logged_at: Cell::new(None),
             started_at: ClockTime::now(),
             stopping: Cell::new(false),
             in_progress: Cell::new(0),
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -33,6 +33,7 @@
     attempts: Family<ReasonLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
     store_calls: Family<ReasonLabel, Counter>,
+    signals: Family<ReasonLabel, Counter>,
     latency: Family<KindLabel, Histogram>,
     /// Version of the configuration in force.
     pub(crate) config_version: Gauge,
@@ -50,6 +51,7 @@
         let attempts = Family::default();
         let retries = Family::default();
         let store_calls = Family::default();
+        let signals = Family::default();
         let latency = Family::<KindLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(LATENCY_BUCKETS_S)
         });
@@ -65,6 +67,11 @@
             "Calls to the store by end",
             store_calls.clone(),
         );
+        registry.register(
+            "instance_signals",
+            "What instances said about themselves, by kind",
+            signals.clone(),
+        );
         registry.register("answer_seconds", "Time to the answer", latency.clone());
         registry.register(
             "config_version",
@@ -88,6 +95,7 @@
             attempts,
             retries,
             store_calls,
+            signals,
             latency,
             config_version,
             evidence_age_ms,
@@ -124,6 +132,11 @@
             .inc();
     }
 
+    /// Counts a statement of an instance about itself by kind.
+    pub(crate) fn count_signal(&self, reason: &'static str) {
+        self.signals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Records the milliseconds until the response on a route of `kind`.
     pub(crate) fn observe_latency(&self, kind: &'static str, millis: u64) {
         self.latency
--- a/crates/edge/src/edge_refusal.rs
+++ b/crates/edge/src/edge_refusal.rs
@@ -36,6 +36,8 @@
     Overloaded,
     /// No instance accepts requests, or each that does was tried.
     NoInstance,
+    /// Each usable instance wants no requests from this host for a time.
+    InstancesOnHold,
     /// No further attempt is allowed and none ran the request.
     RetriesExhausted,
     /// Too many attempts did not reach the chosen instance.
@@ -72,6 +74,7 @@
             EdgeReason::OverLimit => "over_limit",
             EdgeReason::Overloaded => "overloaded",
             EdgeReason::NoInstance => "no_instance",
+            EdgeReason::InstancesOnHold => "instances_on_hold",
             EdgeReason::RetriesExhausted => "not_run_anywhere",
             EdgeReason::NotSent => "not_sent",
             EdgeReason::InstanceFailed => "instance_failed",
@@ -92,6 +95,7 @@
             | EdgeReason::StaleEvidence
             | EdgeReason::Overloaded
             | EdgeReason::NoInstance
+            | EdgeReason::InstancesOnHold
             | EdgeReason::RetriesExhausted
             | EdgeReason::NotSent
             | EdgeReason::TimeBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -13,6 +13,7 @@
 
 use crocushoist_policy::CounterSelection;
 use crocushoist_policy::FeedCursor;
+use crocushoist_policy::InstanceTable;
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::ReporterId;
 use crocushoist_policy::ServiceCounts;
@@ -26,6 +27,7 @@
 use crate::peer_message::HostReport;
 use crate::peer_message::HubAnswer;
 use crate::peer_message::HubSummary;
+use crate::peer_message::WireDeparture;
 use crate::peer_message::WireEstimate;
 use crate::peer_message::WireHub;
 use crate::peer_message::WireListing;
@@ -94,6 +96,7 @@
         outcomes: table.take_counts().iter().map(Into::into).collect(),
         used_trials: table.take_used_trials(),
         services: table.take_service_counts().iter().map(Into::into).collect(),
+        departures: wire_departures(&table, now),
     }
 }
 
@@ -126,6 +129,9 @@
     }
     table.record_trials(&report.used_trials, now);
     let is_own_report = peer_address == context.own_host.peer_address;
+    if !is_own_report {
+        apply_departures(context, &mut table, peer_address, &report.departures, now);
+    }
     for wire in &report.outcomes {
         let (instance, counts): (u32, OutcomeCounts) = wire.into();
         aggregator.add_outcomes(instance, &counts);
@@ -235,6 +241,7 @@
         trials,
         fleet: (advertised_hosts.hash != report.fleet_hash).then(|| advertised_hosts.hosts.clone()),
         fleet_hash: advertised_hosts.hash,
+        departures: wire_departures(&table, now),
     }
 }
 
@@ -283,6 +290,7 @@
         let change = table.apply_relayed(offset, listing, presence, now);
         log_change(context, &id, change, offset);
     }
+    apply_departures(context, &mut table, hub, &answer.departures, now);
     table.advance(answer.listing_offset);
     if let Some(age) = answer.listing_age {
         let synced_at = report_sent_at.minus(age);
@@ -404,6 +412,34 @@
         services: services.iter().map(Into::into).collect(),
         reporters: aggregator.reporter_count(now),
         in_flight: aggregator.local_load(now).into_iter().collect(),
+        departures: wire_departures(&context.instances.borrow(), now),
+    }
+}
+
+/// Departure notices for one message.
+fn wire_departures(table: &InstanceTable, now: ClockTime) -> Vec<WireDeparture> {
+    let told = table.told_departures(rand::random(), now);
+    told.iter().map(Into::into).collect()
+}
+
+/// Applies the departure notices in a message of the host at `peer`.
+fn apply_departures(
+    context: &EdgeContext,
+    table: &mut InstanceTable,
+    peer: SocketAddr,
+    departures: &[WireDeparture],
+    now: ClockTime,
+) {
+    for wire in departures {
+        let Some(key) = table.apply_departure(wire.into(), now) else {
+            continue;
+        };
+        let listing = &table.get(key).listing;
+        context.metrics.count_signal("leaving_told");
+        context.upstreams.close_idle(listing.address);
+        info!(context.logger, "instance says that it leaves"; "instance" => listing.id.as_str(),
+            "service" => listing.service.as_str(), "cause" => "told by a host",
+            "peer" => peer.to_string(), "started_at" => listing.started_at_unix_ms);
     }
 }
 
@@ -433,6 +469,7 @@
     aggregator.set_hub_load(peer_address, summary.reporters, summary.in_flight);
     aggregator.add_named_hubs(&summary.heard_hubs, now);
     let mut table = context.instances.borrow_mut();
+    apply_departures(context, &mut table, peer_address, &summary.departures, now);
     for wire in &summary.services {
         table.add_service_counts(wire.into(), now);
     }
--- a/crates/edge/src/in_flight_guard.rs
+++ b/crates/edge/src/in_flight_guard.rs
@@ -2,12 +2,23 @@
 
 use std::rc::Rc;
 
+use hyper::HeaderMap;
+use slog::info;
+use slog::warn;
+
+use crocushoist_platform::InstanceSignals;
 use crocushoist_policy::AttemptOutcome;
 use crocushoist_policy::InstanceKey;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::SharedContext;
 
+/// Milliseconds after the log line of an unreadable header in which this host writes no other.
+const UNREADABLE_LOG_INTERVAL_MS: u64 = 10_000;
+
+/// Maximum bytes of an unreadable header's value in a log line.
+const MAX_LOGGED_VALUE_BYTES: usize = 40;
+
 /// Counts a request as in flight at an instance until dropped.
 pub(crate) struct InFlightGuard {
     context: SharedContext,
@@ -75,6 +86,54 @@
         table.record_shed(self.key, ClockTime::now());
     }
 
+    /// Whether the instance may still get the request.
+    pub(crate) fn accepts_requests(&self, now: ClockTime) -> bool {
+        let table = self.context.instances.borrow();
+        table.get(self.key).accepts_requests(now)
+    }
+
+    /// Records what the instance says about itself in a response with `headers`.
+    pub(crate) fn record_signals(&self, signals: InstanceSignals, headers: &HeaderMap) {
+        let now = ClockTime::now();
+        let mut table = self.context.instances.borrow_mut();
+        let is_new_leaving = signals.is_leaving && table.record_leaving(self.key, now);
+        let is_new_hold = signals
+            .hold_ms
+            .is_some_and(|hold_ms| table.record_hold(self.key, hold_ms, now));
+        let listing = &table.get(self.key).listing;
+        let metrics = &self.context.metrics;
+        let logger = &self.context.logger;
+        if is_new_leaving {
+            metrics.count_signal("leaving");
+            self.context.upstreams.close_idle(listing.address);
+            info!(logger, "instance says that it leaves"; "instance" => listing.id.as_str(),
+                "service" => listing.service.as_str(), "cause" => "its response",
+                "started_at" => listing.started_at_unix_ms);
+        }
+        if signals.hold_ms.is_some() {
+            metrics.count_signal("hold");
+        }
+        if is_new_hold {
+            info!(logger, "instance wants no requests"; "instance" => listing.id.as_str(),
+                "service" => listing.service.as_str(), "cause" => "its response",
+                "millis" => signals.hold_ms);
+        }
+        let Some(header) = signals.suspect_header else {
+            return;
+        };
+        metrics.count_signal("unreadable");
+        let logged_at = self.context.unreadable_signal_logged_at.get();
+        if logged_at.is_none_or(|at| now.since(at) > UNREADABLE_LOG_INTERVAL_MS) {
+            self.context.unreadable_signal_logged_at.set(Some(now));
+            let values: Vec<_> = headers.get_all(header).iter().collect();
+            let mut value = format!("{values:?}");
+            value.truncate(value.floor_char_boundary(MAX_LOGGED_VALUE_BYTES));
+            warn!(logger, "instance sent an unreadable header";
+                "instance" => listing.id.as_str(), "header" => header, "value" => value,
+                "millis" => signals.hold_ms);
+        }
+    }
+
     /// Records that another instance responded at the listed address, so the listed one is gone.
     pub(crate) fn record_misdirected(&self) {
         self.context
--- a/crates/edge/src/instance_attempt.rs
+++ b/crates/edge/src/instance_attempt.rs
@@ -2,7 +2,9 @@
 //!
 //! A request counts as not run only if the instance says so or if no byte of it
 //! was written. A response is accepted only if it echoes the id of this attempt
-//! and is complete, and a success must also have a signature header.
+//! and is complete, and a success must also have a signature header. An instance
+//! that says that it is leaving, or wants no requests, is believed from the head of
+//! the response on, whatever the rest is like.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -18,7 +20,9 @@
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_ENCODING;
 
+use crocushoist_platform::InstanceSignals;
 use crocushoist_platform::names;
+use crocushoist_state::ClockTime;
 use crocushoist_transport::AttemptFailure;
 use crocushoist_transport::RequestBody;
 use crocushoist_transport::UpstreamConnection;
@@ -118,6 +122,13 @@
             reached_instance: false,
         };
     };
+    // The instance may have said that it is leaving while this attempt waited for a connection.
+    if !guard.accepts_requests(ClockTime::now()) {
+        return AttemptResult::NotRun {
+            reason: "withheld",
+            reached_instance: false,
+        };
+    }
     let remaining = input.deadline.saturating_duration_since(Instant::now());
     let body = RequestBody::buffered(input.body.clone());
     let request = input.head.request(&id, remaining.as_millis() as u64, body);
@@ -169,12 +180,15 @@
 ) -> AttemptResult {
     let (head, body) = response.into_parts();
     if head.status.as_u16() == names::MISDIRECTED_STATUS {
+        // What the response says is about another instance.
         guard.record_misdirected();
         return AttemptResult::NotRun {
             reason: "misdirected",
             reached_instance: false,
         };
     }
+    let signals = InstanceSignals::decode(head.status, &head.headers);
+    guard.record_signals(signals, &head.headers);
     // A response to another attempt proves nothing about this one.
     let echoes_attempt_id = input.head.attempt_id() == head.headers.get(names::ATTEMPT_ID_HEADER);
     if echoes_attempt_id && head.headers.contains_key(names::NOT_EXECUTED_HEADER) {
@@ -212,10 +226,10 @@
         // The response has a content encoding, or is a success without a signature header.
         return AttemptResult::MayHaveRun { reason: "spoiled" };
     }
-    if response.is_failure() {
-        guard.record_failed();
-    } else {
+    if !response.is_failure() {
         guard.record_response();
+    } else if signals.hold_ms.is_none() {
+        guard.record_failed();
     }
     return_to_pool(context, connection, &response.headers, input);
     AttemptResult::Responded(response)
@@ -257,7 +271,10 @@
         .get(CONNECTION)
         .and_then(|value| value.to_str().ok())
         .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
-    if closes_connection || input.body.len() > MAX_REUSE_BODY_BYTES {
+    let is_leaving = headers
+        .get(names::LEAVING_HEADER)
+        .is_some_and(|value| value.as_bytes() == names::LEAVING_VALUE.as_bytes());
+    if closes_connection || is_leaving || input.body.len() > MAX_REUSE_BODY_BYTES {
         return;
     }
     let idle_ms = headers
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -18,6 +18,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crocushoist_policy::DepartureNotice;
 use crocushoist_policy::HostRegistration;
 use crocushoist_policy::HostRoster;
 use crocushoist_policy::InstanceListing;
@@ -75,6 +76,8 @@
     pub(crate) used_trials: Vec<u32>,
     /// Requests that ended since the last report, by service.
     pub(crate) services: Vec<WireServiceCounts>,
+    /// Starts of instances that are leaving, as far as the host knows.
+    pub(crate) departures: Vec<WireDeparture>,
 }
 
 /// Answer of a hub to a report.
@@ -116,6 +119,8 @@
     pub(crate) fleet: Option<Vec<(CompactString, SocketAddr)>>,
     /// Hash of these hosts.
     pub(crate) fleet_hash: u32,
+    /// Starts of instances that are leaving, as far as the hub knows.
+    pub(crate) departures: Vec<WireDeparture>,
 }
 
 /// Summary of a hub's data centre for another hub.
@@ -141,6 +146,8 @@
     pub(crate) reporters: u32,
     /// Requests in flight from these hosts by the hash of the instance's id.
     pub(crate) in_flight: Vec<(u32, u32)>,
+    /// Starts of instances that are leaving, as far as the hub knows.
+    pub(crate) departures: Vec<WireDeparture>,
 }
 
 /// Registration of a host and its offset in the store.
@@ -277,6 +284,25 @@
     pub(crate) others_load: u16,
 }
 
+/// Hash of a leaving instance's id, and its start in Unix milliseconds.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireDeparture(u32, u64);
+
+impl From<&DepartureNotice> for WireDeparture {
+    fn from(notice: &DepartureNotice) -> Self {
+        WireDeparture(notice.instance, notice.started_at_unix_ms)
+    }
+}
+
+impl From<&WireDeparture> for DepartureNotice {
+    fn from(wire: &WireDeparture) -> Self {
+        DepartureNotice {
+            instance: wire.0,
+            started_at_unix_ms: wire.1,
+        }
+    }
+}
+
 /// Hash of a suspected instance's id, and whether its trial is required.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireTrial(u32, bool);
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -21,6 +21,7 @@
 use crocushoist_state::ClockTime;
 
 use crate::buffered_response::BufferedResponse;
+use crate::edge_context::EdgeContext;
 use crate::edge_context::SharedContext;
 use crate::edge_refusal::EdgeReason;
 use crate::edge_refusal::EdgeRefusal;
@@ -49,6 +50,11 @@
 /// Milliseconds after which a caller should retry if no instance is left to choose.
 const NO_INSTANCE_RETRY_DELAY_MS: u64 = 500;
 
+/// Range in milliseconds over which the returns of callers are spread that were refused because no
+/// instance takes requests; longer for those that wait longer, as more of them return together.
+const MIN_RETURN_SPREAD_MS: u64 = 300;
+const MAX_RETURN_SPREAD_MS: u64 = 1_000;
+
 /// Milliseconds after which a caller should retry if the request was not run for another reason,
 /// such as full instances.
 const NOT_RUN_RETRY_DELAY_MS: u64 = 300;
@@ -332,6 +338,11 @@
             };
             return Err(EdgeRefusal::new(reason));
         }
+        if reason == EdgeReason::NoInstance
+            && let Some(refusal) = refuse_unservable(self.context, &self.service)
+        {
+            return Err(refusal);
+        }
         let retry_after_ms = match reason {
             EdgeReason::NoInstance => NO_INSTANCE_RETRY_DELAY_MS,
             _ => NOT_RUN_RETRY_DELAY_MS,
@@ -357,6 +368,22 @@
     }
 }
 
+/// Refusal of any request to `service` while none of its instances takes one; `None` if one does.
+pub(crate) fn refuse_unservable(context: &EdgeContext, service: &str) -> Option<EdgeRefusal> {
+    let now = ClockTime::now();
+    let table = context.instances.borrow();
+    let (reason, wait_ms) = if let Some(end) = table.hold_end(service, now) {
+        (EdgeReason::InstancesOnHold, end.since(now))
+    } else if table.usable_count(service, now) == 0 {
+        (EdgeReason::NoInstance, NO_INSTANCE_RETRY_DELAY_MS)
+    } else {
+        return None;
+    };
+    let spread_ms = wait_ms.clamp(MIN_RETURN_SPREAD_MS, MAX_RETURN_SPREAD_MS);
+    let retry_after_ms = wait_ms + rand::random_range(0..spread_ms);
+    Some(EdgeRefusal::with_retry_after(reason, retry_after_ms))
+}
+
 /// Whether the instance sent a valid response without a server error.
 fn is_success(result: &AttemptResult) -> bool {
     matches!(result, AttemptResult::Responded(response) if !response.is_failure())
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -42,6 +42,7 @@
 use crate::edge_refusal::EdgeRefusal;
 use crate::forward_head::ForwardHead;
 use crate::request_forwarder::RequestForwarder;
+use crate::request_forwarder::refuse_unservable;
 use crate::request_record::RequestRecord;
 
 /// Maximum request body in bytes that a host buffers; the operators' limit applies if it is
@@ -244,14 +245,17 @@
     }
 }
 
-/// Refuses a request if the queues of the service are so long that the response would come too
-/// late.
+/// Refuses a request if no instance of the service takes requests, or the queues are so long that
+/// the response would come too late.
 fn check_capacity(
     context: &EdgeContext,
     service: &str,
     rank: AdmissionRank,
     record: &mut RequestRecord,
 ) -> Result<(), EdgeRefusal> {
+    if let Some(refusal) = refuse_unservable(context, service) {
+        return Err(refusal);
+    }
     let table = context.instances.borrow();
     record.waiting_per_slot = table.min_queue_per_slot(service, ClockTime::now());
     match record.waiting_per_slot {
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -3,6 +3,7 @@
 use crocushoist_state::ClockTime;
 
 use crate::AttemptOutcome;
+use crate::DepartureNotice;
 use crate::FaultEstimate;
 use crate::InstanceListing;
 use crate::OutcomeCounts;
@@ -20,6 +21,9 @@
 const MIN_UNREACHABLE_BACKOFF_MS: u64 = 1_500;
 const MAX_UNREACHABLE_BACKOFF_MS: u64 = 6_000;
 
+/// Milliseconds without a hold after which the start of another one is reported again.
+const HOLD_REPORT_INTERVAL_MS: u64 = 5_000;
+
 /// Milliseconds after a failure seen by this host (several exchanges with the hub) during which a
 /// lower estimate of the hub is ignored.
 const KEEP_LOCAL_FAILURE_MS: u64 = 500;
@@ -55,6 +59,8 @@
     latency_ms: f64,
     /// Time until which this host prefers other instances.
     backoff_until: ClockTime,
+    /// Time until which the instance wants no requests from this host.
+    hold_until: ClockTime,
     /// Next backoff in milliseconds if this host cannot reach the instance.
     unreachable_backoff_ms: u64,
     /// Time at which a host last failed to connect to the instance.
@@ -71,8 +77,8 @@
     trial: Option<(TrialOffer, ClockTime)>,
     /// Whether this host used a trial since the last report.
     has_used_trial: bool,
-    /// Whether the instance itself reported that it is leaving or is not the listed instance. A
-    /// newer entry of the same start does not clear this.
+    /// Whether the instance reported that it is leaving, to this host or another one, or is not
+    /// the listed instance. A newer entry of the same start does not clear this.
     has_reported_departure: bool,
     /// Outcomes of this host's attempts since the last report.
     counts: OutcomeCounts,
@@ -97,6 +103,7 @@
             estimate: FaultEstimate::new(now),
             latency_ms,
             backoff_until: ClockTime::default(),
+            hold_until: ClockTime::default(),
             unreachable_backoff_ms: MIN_UNREACHABLE_BACKOFF_MS,
             last_unreachable_at: None,
             last_failure_at: None,
@@ -122,6 +129,38 @@
         is_present && !self.listing.leaving && !self.has_reported_departure
     }
 
+    /// Whether this host may send a request to the instance at `now`, regardless of backoff, load
+    /// and faults.
+    pub fn accepts_requests(&self, now: ClockTime) -> bool {
+        self.is_usable(now) && !self.is_on_hold(now)
+    }
+
+    /// Whether the instance wants no requests from this host at `now`.
+    pub fn is_on_hold(&self, now: ClockTime) -> bool {
+        now < self.hold_until
+    }
+
+    /// Time until which the instance wants no requests from this host.
+    pub(crate) fn hold_until(&self) -> ClockTime {
+        self.hold_until
+    }
+
+    /// Records that the instance wants no requests from this host before `until`; returns whether
+    /// it did not say so lately.
+    pub(crate) fn start_hold(&mut self, until: ClockTime, now: ClockTime) -> bool {
+        let is_first = self.hold_until.plus(HOLD_REPORT_INTERVAL_MS) <= now;
+        self.hold_until = self.hold_until.max(until);
+        is_first
+    }
+
+    /// Notice that this start of the instance is leaving.
+    pub fn departure_notice(&self) -> DepartureNotice {
+        DepartureNotice {
+            instance: self.hash,
+            started_at_unix_ms: self.listing.started_at_unix_ms,
+        }
+    }
+
     /// Whether the instance is not in backoff on this host.
     pub fn is_past_backoff(&self, now: ClockTime) -> bool {
         self.backoff_until <= now
@@ -174,8 +213,7 @@
         is_back || !is_same
     }
 
-    /// Records that the instance itself reported that it is leaving or has another identity
-    /// than listed.
+    /// Records that the instance reported that it is leaving, or has another identity than listed.
     pub(crate) fn record_departure(&mut self) {
         self.has_reported_departure = true;
     }
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -4,7 +4,9 @@
 //! offset, and each is applied at most once. An entry of an earlier start of
 //! the instance, or with a lower sequence number, is outdated and ignored. The
 //! fault probability alone never excludes an instance: while all of them look
-//! faulty, the least suspicious ones still serve requests.
+//! faulty, the least suspicious ones still serve requests. An instance that said
+//! that it is leaving gets none until it starts again, whatever its entry says,
+//! and one that wants no requests gets none until the time that it gave.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -16,6 +18,7 @@
 use crocushoist_state::ClockTime;
 
 use crate::AttemptOutcome;
+use crate::DepartureNotice;
 use crate::InstanceKey;
 use crate::InstanceListing;
 use crate::InstanceState;
@@ -25,6 +28,7 @@
 use crate::RetrySafety;
 use crate::ServiceCounts;
 use crate::TrialOffer;
+use crate::departure_ledger::DepartureLedger;
 use crate::instance_index::InstanceIndex;
 use crate::instance_selector::InstanceCandidate;
 use crate::instance_selector::InstanceSelector;
@@ -78,6 +82,8 @@
     trial_offers: TrialOffers,
     /// Offset from which on every removal was applied. A full list does not contain earlier ones.
     removals_known_from: u64,
+    /// Starts of instances that are leaving, listed or not.
+    departures: DepartureLedger,
 }
 
 impl InstanceTable {
@@ -245,12 +251,65 @@
         changed
     }
 
-    /// Records that the instance itself reported that it is leaving or has another identity
-    /// than listed.
+    /// Records that another instance responded at the address of the instance `key`.
     pub fn record_departure(&mut self, key: InstanceKey) {
         self.instances[key].record_departure();
     }
 
+    /// Records that the instance `key` said to this host that it is leaving; returns whether that
+    /// is new.
+    pub fn record_leaving(&mut self, key: InstanceKey, now: ClockTime) -> bool {
+        let state = &mut self.instances[key];
+        state.record_departure();
+        let notice = state.departure_notice();
+        self.departures.record(notice, now)
+    }
+
+    /// Applies a notice from another host; returns the instance if this host did not know that it
+    /// is leaving. The notice also holds for a start that is listed later.
+    pub fn apply_departure(
+        &mut self,
+        notice: DepartureNotice,
+        now: ClockTime,
+    ) -> Option<InstanceKey> {
+        if !self.departures.record(notice, now) {
+            return None;
+        }
+        let key = self.find_start(notice)?;
+        self.instances[key].record_departure();
+        Some(key)
+    }
+
+    /// Departure notices for one message to another host; `draw` is a random number from 0 to 1.
+    pub fn told_departures(&self, draw: f64, now: ClockTime) -> Vec<DepartureNotice> {
+        let is_present = |notice| {
+            let key = self.find_start(notice);
+            key.is_some_and(|key| self.instances[key].presence != Presence::Gone)
+        };
+        self.departures.told(draw, is_present, now)
+    }
+
+    /// Latest start of the instance of `notice`, if the notice is about that start.
+    fn find_start(&self, notice: DepartureNotice) -> Option<InstanceKey> {
+        let key = self.find_hash(notice.instance)?;
+        (self.instances[key].departure_notice() == notice).then_some(key)
+    }
+
+    /// Records that the instance `key` wants no requests from this host for `hold_ms`; returns
+    /// whether it did not say so lately.
+    pub fn record_hold(&mut self, key: InstanceKey, hold_ms: u64, now: ClockTime) -> bool {
+        self.instances[key].start_hold(now.plus(hold_ms), now)
+    }
+
+    /// Time at which the first instance of `service` wants requests again; `None` if one wants
+    /// them at `now`, or none is usable.
+    pub fn hold_end(&self, service: &str, now: ClockTime) -> Option<ClockTime> {
+        let ends = self
+            .usable_members(service, now)
+            .map(|(_, state)| state.hold_until());
+        ends.min().filter(|end| now < *end)
+    }
+
     /// Selects an instance of `service` and counts a request in flight there.
     ///
     /// `draws` are two random numbers from 0 to 1; instances in `tried` are excluded.
@@ -273,7 +332,7 @@
     ) -> Option<InstanceKey> {
         let candidates = self
             .usable_members(service, now)
-            .filter(|(key, _)| !tried.contains(key))
+            .filter(|(key, state)| !tried.contains(key) && !state.is_on_hold(now))
             .map(|(key, state)| InstanceCandidate {
                 key,
                 state,
@@ -311,7 +370,7 @@
                 break;
             }
             let is_candidate = state.listing.data_centre == data_centre
-                && state.is_usable(now)
+                && state.accepts_requests(now)
                 && state.trial_round.is_due(now);
             if !is_candidate {
                 continue;
@@ -501,7 +560,9 @@
     pub fn min_queue_per_slot(&self, service: &str, now: ClockTime) -> Option<f64> {
         self.usable_members(service, now)
             .filter(|(_, state)| {
-                state.is_past_backoff(now) && state.fault_probability(now) < SUSPECT_PROBABILITY
+                state.is_past_backoff(now)
+                    && !state.is_on_hold(now)
+                    && state.fault_probability(now) < SUSPECT_PROBABILITY
             })
             .map(|(_, state)| state.queue_per_slot())
             .reduce(f64::min)
@@ -576,7 +637,10 @@
 
     fn insert(&mut self, offset: u64, listing: InstanceListing, now: ClockTime) {
         let latency_ms = self.mean_latency_ms(&listing.service, now);
-        let state = InstanceState::new(offset, listing, latency_ms, now);
+        let mut state = InstanceState::new(offset, listing, latency_ms, now);
+        if self.departures.contains(state.departure_notice()) {
+            state.record_departure();
+        }
         let key = self.instances.push(state);
         self.index.insert(key, &self.instances[key]);
     }
