Log and count what each retry was charged to

Two services got more repeats in ten seconds than the budget of the fleet allows. Neither log nor metrics told whether the pool of the hubs, a host's own part or nothing had paid for them, nor how old the hub's share was, so the three hypotheses of the incident could not be told apart.

retries_total has the label paid_by beside the result of the attempt before, denied retries have a counter of their own, and the line of a request lists each decision with the share and its age. A hedge is counted when it is charged, which is also the case if no instance is found for it.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -366,6 +366,12 @@
         shares.share_of(retry_pool_key(service), now)
     }
 
+    /// Milliseconds since the hub's shares arrived.
+    pub(crate) fn shares_age(&self, now: ClockTime) -> Option<u64> {
+        let received_at = self.assigned_shares.borrow().received_at?;
+        Some(now.since(received_at))
+    }
+
     /// Limit of `workspace`.
     pub(crate) fn limit_of(&self, workspace: &WorkspaceSpec) -> WindowLimit {
         WindowLimit {
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -8,6 +8,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crocushoist_policy::RetryPayment;
+
 /// Upper bounds of the latency buckets in seconds; the objectives of the routes are between 0.6
 /// and 1.5 s.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.0, 1.5, 2.5, 5.0];
@@ -18,6 +20,13 @@
     reason: &'static str,
 }
 
+/// Label of retries by the result of the attempt before and what the retry was charged to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RetryLabel {
+    reason: &'static str,
+    paid_by: &'static str,
+}
+
 /// Label of histograms by kind of route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabel {
@@ -31,7 +40,8 @@
     responses: Family<ReasonLabel, Counter>,
     refusals: Family<ReasonLabel, Counter>,
     attempts: Family<ReasonLabel, Counter>,
-    retries: Family<ReasonLabel, Counter>,
+    retries: Family<RetryLabel, Counter>,
+    denied_retries: Family<ReasonLabel, Counter>,
     store_calls: Family<ReasonLabel, Counter>,
     latency: Family<KindLabel, Histogram>,
     /// Version of the configuration in force.
@@ -49,6 +59,7 @@
         let refusals = Family::default();
         let attempts = Family::default();
         let retries = Family::default();
+        let denied_retries = Family::default();
         let store_calls = Family::default();
         let latency = Family::<KindLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(LATENCY_BUCKETS_S)
@@ -59,7 +70,16 @@
         registry.register("answers", "Answers by outcome", responses.clone());
         registry.register("refusals", "Refusals by reason", refusals.clone());
         registry.register("attempts", "Attempts at instances by end", attempts.clone());
-        registry.register("retries", "Repeated sends by reason", retries.clone());
+        registry.register(
+            "retries",
+            "Repeated sends by reason and payment",
+            retries.clone(),
+        );
+        registry.register(
+            "denied_retries",
+            "Repeated sends without budget, by reason",
+            denied_retries.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store by end",
@@ -87,6 +107,7 @@
             refusals,
             attempts,
             retries,
+            denied_retries,
             store_calls,
             latency,
             config_version,
@@ -112,9 +133,17 @@
         self.attempts.get_or_create(&ReasonLabel { reason }).inc();
     }
 
-    /// Counts a retry or a hedge by reason.
-    pub(crate) fn count_retry(&self, reason: &'static str) {
-        self.retries.get_or_create(&ReasonLabel { reason }).inc();
+    /// Counts a retry or a hedge by reason and payment.
+    pub(crate) fn count_retry(&self, reason: &'static str, payment: RetryPayment) {
+        let paid_by = payment.name();
+        let label = RetryLabel { reason, paid_by };
+        self.retries.get_or_create(&label).inc();
+    }
+
+    /// Counts a retry or a hedge for which the budget had no room.
+    pub(crate) fn count_denied_retry(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.denied_retries.get_or_create(&label).inc();
     }
 
     /// Counts a call to the store by result.
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -17,6 +17,7 @@
 use futures_util::future::select;
 
 use crocushoist_policy::InstanceKey;
+use crocushoist_policy::RetryPayment;
 use crocushoist_policy::RetrySafety;
 use crocushoist_state::ClockTime;
 
@@ -31,6 +32,7 @@
 use crate::instance_attempt::send_attempt;
 use crate::request_record::AttemptRecord;
 use crate::request_record::RequestRecord;
+use crate::request_record::RetryRecord;
 
 /// Number of attempts that may fail to reach the chosen instance; one more ends the request.
 const MAX_UNDELIVERED: u32 = 3;
@@ -145,10 +147,10 @@
                     return self.final_response(progress, EdgeReason::TimeAfterSend);
                 }
             }
-            if let Some(refusal_reason) = self.refuse_retry(&progress) {
+            let refusal_reason = self.refuse_retry(&progress, result_name, record);
+            if let Some(refusal_reason) = refusal_reason {
                 return self.final_response(progress, refusal_reason);
             }
-            self.context.metrics.count_retry(result_name);
         }
     }
 
@@ -170,7 +172,7 @@
         if let Some(result) = result {
             return self.finish_attempt(first_key, result, progress, record);
         }
-        let second = if self.try_start_hedge(progress) {
+        let second = if self.try_start_hedge(progress, record) {
             self.choose_instance(progress)
         } else {
             None
@@ -179,7 +181,6 @@
             let result = first.await;
             return self.finish_attempt(first_key, result, progress, record);
         };
-        self.context.metrics.count_retry("hedge");
         let second_key = second.key();
         let second = Box::pin(self.attempt(second));
         match select(first, second).await {
@@ -286,17 +287,22 @@
 
     /// Whether a hedge is allowed; if so, takes it from the retry budget, even if no instance is
     /// found for it afterwards.
-    fn try_start_hedge(&self, progress: &AttemptProgress) -> bool {
+    fn try_start_hedge(&self, progress: &AttemptProgress, record: &mut RequestRecord) -> bool {
         self.retry_safety == RetrySafety::Idempotent
             && progress.possibly_run + 1 < self.max_attempts
-            && self.try_withdraw_retry()
+            && self.try_withdraw_retry("hedge", record)
     }
 
     /// Reason to refuse a further attempt, `None` to allow it.
     ///
     /// An allowed attempt is taken from the retry budget, even if no instance is found for it
     /// afterwards. It is free if no attempt has reached its chosen instance yet.
-    fn refuse_retry(&self, progress: &AttemptProgress) -> Option<EdgeReason> {
+    fn refuse_retry(
+        &self,
+        progress: &AttemptProgress,
+        result_name: &'static str,
+        record: &mut RequestRecord,
+    ) -> Option<EdgeReason> {
         if progress.may_have_run && self.retry_safety == RetrySafety::AtMostOnce {
             return Some(EdgeReason::InstanceFailed);
         }
@@ -308,7 +314,15 @@
         }
         let is_first_delivery = progress.possibly_run + progress.shed == 0;
         let is_exhausted = progress.possibly_run >= self.max_attempts || progress.shed > MAX_SHED;
-        if is_exhausted || !(is_first_delivery || self.try_withdraw_retry()) {
+        if is_exhausted {
+            return Some(EdgeReason::RetriesExhausted);
+        }
+        if is_first_delivery {
+            let payment = Some(RetryPayment::Free);
+            self.record_retry(payment, None, result_name, record);
+            return None;
+        }
+        if !self.try_withdraw_retry(result_name, record) {
             return Some(EdgeReason::RetriesExhausted);
         }
         None
@@ -349,11 +363,39 @@
 
     /// Takes one retry from the budget of the service; returns false if it has none left. A missing
     /// budget is created with less than one retry.
-    fn try_withdraw_retry(&self) -> bool {
+    fn try_withdraw_retry(&self, reason: &'static str, record: &mut RequestRecord) -> bool {
         let share = self.context.retry_share(&self.service, ClockTime::now());
-        let mut budgets = self.context.retry_budgets.borrow_mut();
-        let budget = budgets.entry(self.service.clone()).or_default();
-        budget.try_withdraw(share, rand::random())
+        let is_allowed = {
+            let mut budgets = self.context.retry_budgets.borrow_mut();
+            let budget = budgets.entry(self.service.clone()).or_default();
+            budget.try_withdraw(share, rand::random())
+        };
+        let payment = match share {
+            Some(_) => RetryPayment::Pool,
+            None => RetryPayment::OwnPart,
+        };
+        let payment = is_allowed.then_some(payment);
+        self.record_retry(payment, share, reason, record);
+        is_allowed
+    }
+
+    /// Counts and records whether a retry or a hedge was allowed, and why.
+    fn record_retry(
+        &self,
+        payment: Option<RetryPayment>,
+        share: Option<f64>,
+        reason: &'static str,
+        record: &mut RequestRecord,
+    ) {
+        match payment {
+            Some(payment) => self.context.metrics.count_retry(reason, payment),
+            None => self.context.metrics.count_denied_retry(reason),
+        }
+        record.record_retry(RetryRecord {
+            payment,
+            share,
+            share_age: self.context.shares_age(ClockTime::now()),
+        });
     }
 }
 
--- a/crates/edge/src/request_record.rs
+++ b/crates/edge/src/request_record.rs
@@ -7,6 +7,8 @@
 use slog::Logger;
 use slog::info;
 
+use crocushoist_policy::RetryPayment;
+
 /// Maximum number of attempts that a line describes; later ones are only counted.
 const MAX_LOGGED_ATTEMPTS: usize = 4;
 
@@ -39,6 +41,7 @@
     pub(crate) is_required_trial: bool,
     attempts: Vec<AttemptRecord>,
     attempt_count: usize,
+    retries: Vec<RetryRecord>,
 }
 
 /// Result of an attempt and the state of its instance.
@@ -56,7 +59,40 @@
     pub(crate) in_flight: u32,
 }
 
+/// Decision on a retry or a hedge and what it was based on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RetryRecord {
+    /// What the retry was charged to, `None` if the budget had no room.
+    pub(crate) payment: Option<RetryPayment>,
+    /// Share of the retries that the hub had assigned, as far as its age allowed.
+    pub(crate) share: Option<f64>,
+    /// Milliseconds since the hub's shares arrived.
+    pub(crate) share_age: Option<u64>,
+}
+
+impl RetryRecord {
+    /// Text in the log.
+    fn describe(&self) -> String {
+        let payment = self.payment.map_or("denied", RetryPayment::name);
+        match (self.share, self.share_age) {
+            (Some(share), Some(age)) => {
+                let percent = (share * 100.0) as u8;
+                format!("{payment} share={percent}% age={age}ms")
+            }
+            (None, Some(age)) => format!("{payment} share=none age={age}ms"),
+            _ => format!("{payment} share=none"),
+        }
+    }
+}
+
 impl RequestRecord {
+    /// Records whether a retry or a hedge was allowed.
+    pub(crate) fn record_retry(&mut self, retry: RetryRecord) {
+        if self.retries.len() < MAX_LOGGED_ATTEMPTS {
+            self.retries.push(retry);
+        }
+    }
+
     /// Records an attempt that has ended.
     pub(crate) fn record_attempt(&mut self, attempt: AttemptRecord) {
         self.attempt_count += 1;
@@ -94,12 +130,13 @@
                 )
             })
             .collect();
+        let retries: Vec<String> = self.retries.iter().map(RetryRecord::describe).collect();
         info!(logger, "request ended";
             "request" => self.id.as_str(), "outcome" => outcome, "status" => status,
             "millis" => millis, "budget_ms" => self.budget_ms, "route" => self.route.as_str(),
             "workspace" => self.workspace.as_str(), "config_version" => self.config_version,
             "evidence_age_ms" => self.evidence_age, "told_share" => self.assigned_share,
             "waiting_per_slot" => self.waiting_per_slot, "attempts" => attempts.join("; "),
-            "attempt_count" => self.attempt_count);
+            "attempt_count" => self.attempt_count, "retries" => retries.join("; "));
     }
 }
