--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -29,12 +29,13 @@
 use crocushoist_policy::retry_pool_key;
 use crocushoist_policy::retry_pool_limit;
 use crocushoist_state::ClockTime;
-use crocushoist_transport::StopSignal;
+use crocushoist_transport::ServerStop;
 use crocushoist_transport::UpstreamPool;
 
 use crate::edge_metrics::EdgeMetrics;
 use crate::edge_settings::EdgeSettings;
 use crate::hub_rejection::HubRejection;
+use crate::request_progress::ProgressRegister;
 
 /// Milliseconds after which a call to the store without a long poll fails.
 pub(crate) const STORE_TIMEOUT_MS: u64 = 1_000;
@@ -150,18 +151,20 @@
     pub(crate) hub_answered_at: Cell<Option<ClockTime>>,
     /// When the last request of a caller arrived.
     pub(crate) last_request_at: Cell<Option<ClockTime>>,
+    /// When this host last logged that an instance sent an unreadable header.
+    pub(crate) unreadable_signal_logged_at: Cell<Option<ClockTime>>,
     /// Start of the process.
     pub(crate) started_at: ClockTime,
-    /// Whether the host is stopping.
-    pub(crate) stopping: Cell<bool>,
-    /// Number of requests in progress.
-    pub(crate) in_progress: Cell<usize>,
+    /// Start of the planned stop, `None` before it.
+    pub(crate) stop_started_at: Cell<Option<ClockTime>>,
+    /// Requests in progress.
+    pub(crate) in_progress: Rc<ProgressRegister>,
     /// Connections to the instances.
     pub(crate) upstreams: UpstreamPool,
     /// Metrics of this host.
     pub(crate) metrics: EdgeMetrics,
-    /// Raised to close the connections of callers.
-    pub(crate) stop: StopSignal,
+    /// Stop of the server of callers.
+    pub(crate) stop: ServerStop,
     /// Logger of this host.
     pub(crate) logger: Logger,
 }
@@ -208,12 +211,13 @@
             hub_known_since: Cell::new(None),
             hub_answered_at: Cell::new(None),
             last_request_at: Cell::new(None),
+            unreadable_signal_logged_at: Cell::new(None),
             started_at: ClockTime::now(),
-            stopping: Cell::new(false),
-            in_progress: Cell::new(0),
+            stop_started_at: Cell::new(None),
+            in_progress: Rc::default(),
             upstreams: UpstreamPool::new(Some(settings.caller_address.ip())),
             metrics: EdgeMetrics::default(),
-            stop: StopSignal::default(),
+            stop: ServerStop::default(),
             logger,
             settings,
         }
@@ -257,6 +261,11 @@
         read_at.is_some_and(|at| now.since(at) <= STALE_LISTING_MS)
     }
 
+    /// Whether the host is stopping.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop_started_at.get().is_some()
+    }
+
     /// Records that this host knows every change of the instance list before `at`.
     pub(crate) fn record_listing_sync(&self, at: ClockTime) {
         self.listing_synced_at
@@ -278,7 +287,7 @@
         let can_serve = self.config.borrow().is_some()
             && self.listing_synced_at.get().is_some()
             && self.knows_hosts.get();
-        is_recent && can_serve && !self.stopping.get()
+        is_recent && can_serve && !self.is_stopping()
     }
 
     /// Records that the host at `peer_address` has the configuration `version`.
@@ -366,6 +375,12 @@
         shares.share_of(retry_pool_key(service), now)
     }
 
+    /// Milliseconds since the hub's shares arrived.
+    pub(crate) fn shares_age(&self, now: ClockTime) -> Option<u64> {
+        let received_at = self.assigned_shares.borrow().received_at?;
+        Some(now.since(received_at))
+    }
+
     /// Limit of `workspace`.
     pub(crate) fn limit_of(&self, workspace: &WorkspaceSpec) -> WindowLimit {
         WindowLimit {
--- a/crates/edge/src/edge_refusal.rs
+++ b/crates/edge/src/edge_refusal.rs
@@ -20,6 +20,8 @@
     NoHosts,
     /// The evidence that no configuration was missed is too old to admit a request with a key.
     StaleEvidence,
+    /// The host is stopping and may end before the deadline of the request.
+    Stopping,
     /// No route matches.
     NoRoute,
     /// The request has no key and the route needs one.
@@ -36,6 +38,8 @@
     Overloaded,
     /// No instance accepts requests, or each that does was tried.
     NoInstance,
+    /// Each usable instance wants no requests from this host for a time.
+    InstancesOnHold,
     /// No further attempt is allowed and none ran the request.
     RetriesExhausted,
     /// Too many attempts did not reach the chosen instance.
@@ -64,6 +68,7 @@
             EdgeReason::NoConfig => "no_config",
             EdgeReason::NoHosts => "no_hosts",
             EdgeReason::StaleEvidence => "stale_evidence",
+            EdgeReason::Stopping => "stopping",
             EdgeReason::NoRoute => "no_route",
             EdgeReason::KeyMissing => "key_missing",
             EdgeReason::KeyUnknown => "key_unknown",
@@ -72,6 +77,7 @@
             EdgeReason::OverLimit => "over_limit",
             EdgeReason::Overloaded => "overloaded",
             EdgeReason::NoInstance => "no_instance",
+            EdgeReason::InstancesOnHold => "instances_on_hold",
             EdgeReason::RetriesExhausted => "not_run_anywhere",
             EdgeReason::NotSent => "not_sent",
             EdgeReason::InstanceFailed => "instance_failed",
@@ -90,8 +96,10 @@
             EdgeReason::NoConfig
             | EdgeReason::NoHosts
             | EdgeReason::StaleEvidence
+            | EdgeReason::Stopping
             | EdgeReason::Overloaded
             | EdgeReason::NoInstance
+            | EdgeReason::InstancesOnHold
             | EdgeReason::RetriesExhausted
             | EdgeReason::NotSent
             | EdgeReason::TimeBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -4,7 +4,6 @@
 //! order before the body is read. A request that cannot be served is refused at
 //! once.
 
-use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,6 +29,7 @@
 use crocushoist_policy::GateDecision;
 use crocushoist_policy::RetrySafety;
 use crocushoist_policy::RouteSpec;
+use crocushoist_policy::StopPlan;
 use crocushoist_policy::WorkspaceGate;
 use crocushoist_policy::WorkspaceSpec;
 use crocushoist_state::ClockTime;
@@ -42,6 +42,8 @@
 use crate::edge_refusal::EdgeRefusal;
 use crate::forward_head::ForwardHead;
 use crate::request_forwarder::RequestForwarder;
+use crate::request_forwarder::refuse_unservable;
+use crate::request_progress::ProgressGuard;
 use crate::request_record::RequestRecord;
 
 /// Maximum request body in bytes that a host buffers; the operators' limit applies if it is
@@ -61,29 +63,19 @@
 const MIN_OVERLOAD_RETRY_DELAY_MS: u64 = 200;
 const MAX_OVERLOAD_RETRY_DELAY_MS: u64 = 700;
 
-/// Counts a request as in progress until dropped.
-struct InProgressGuard(SharedContext);
-
-impl Drop for InProgressGuard {
-    fn drop(&mut self) {
-        self.0.in_progress.set(self.0.in_progress.get() - 1);
-    }
-}
-
 /// Serves one request of a caller, then counts and logs the outcome.
 pub(crate) async fn handle_request(
     context: SharedContext,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
-    context.in_progress.set(context.in_progress.get() + 1);
-    let _guard = InProgressGuard(Rc::clone(&context));
     let arrived_at = Instant::now();
     context.last_request_at.set(Some(ClockTime::now()));
     let mut record = RequestRecord::default();
     record.id = header_text(request.headers(), names::ATTEMPT_ID_HEADER).into();
     record.config_version = context.config_version();
     record.evidence_age = context.evidence.borrow().age(ClockTime::now());
-    let served = serve_request(&context, request, arrived_at, &mut record).await;
+    let progress = context.in_progress.add(record.id.clone(), ClockTime::now());
+    let served = serve_request(&context, request, arrived_at, &progress, &mut record).await;
     let millis = arrived_at.elapsed().as_millis() as u64;
     let (outcome, mut response) = match served {
         Ok(response) => ("answered", response),
@@ -96,7 +88,7 @@
     let status = response.status().as_u16();
     count_for_service(&context, &record, response.status());
     record.log_end(&context.logger, outcome, status, millis, rand::random());
-    if context.stopping.get() {
+    if context.is_stopping() {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -108,6 +100,7 @@
     context: &SharedContext,
     request: Request<Incoming>,
     arrived_at: Instant,
+    progress: &ProgressGuard,
     record: &mut RequestRecord,
 ) -> Result<Response<ResponseBody>, EdgeRefusal> {
     let (head, body) = request.into_parts();
@@ -118,9 +111,10 @@
     let key = presented_key(&head.headers);
     let route = find_route(context, &config, &head.headers, head.uri.path())?;
     record.route = route.name.clone();
-    let workspace = find_workspace(context, &config, route, key)?;
     let budget_ms = time_budget_ms(&head.headers, route);
     record.budget_ms = budget_ms;
+    check_stop(context, budget_ms)?;
+    let workspace = find_workspace(context, &config, route, key)?;
     let service = route
         .service_for(rand::random())
         .ok_or(EdgeRefusal::new(EdgeReason::NoInstance))?;
@@ -142,6 +136,7 @@
         .ok_or(EdgeRefusal::new(EdgeReason::NoRoute))?;
     let forwarder = RequestForwarder {
         context,
+        request: progress,
         service: service.clone(),
         retry_safety: route.retry_safety,
         max_attempts: route.max_attempts,
@@ -182,6 +177,21 @@
         .ok_or_else(|| stale_evidence_or(context, EdgeReason::NoRoute))
 }
 
+/// Refuses a request that a stopping host possibly cannot finish.
+fn check_stop(context: &EdgeContext, budget_ms: u64) -> Result<(), EdgeRefusal> {
+    let Some(started_at) = context.stop_started_at.get() else {
+        return Ok(());
+    };
+    let plan = StopPlan::new(context.settings.grace_ms);
+    if plan.admits(ClockTime::now().since(started_at), budget_ms) {
+        return Ok(());
+    }
+    Err(EdgeRefusal::with_retry_after(
+        EdgeReason::Stopping,
+        OTHER_HOST_RETRY_DELAY_MS,
+    ))
+}
+
 /// Workspace that the key belongs to, `None` on a route that needs no key.
 fn find_workspace<'a>(
     context: &EdgeContext,
@@ -244,14 +254,17 @@
     }
 }
 
-/// Refuses a request if the queues of the service are so long that the response would come too
-/// late.
+/// Refuses a request if no instance of the service takes requests, or the queues are so long that
+/// the response would come too late.
 fn check_capacity(
     context: &EdgeContext,
     service: &str,
     rank: AdmissionRank,
     record: &mut RequestRecord,
 ) -> Result<(), EdgeRefusal> {
+    if let Some(refusal) = refuse_unservable(context, service) {
+        return Err(refusal);
+    }
     let table = context.instances.borrow();
     record.waiting_per_slot = table.min_queue_per_slot(service, ClockTime::now());
     match record.waiting_per_slot {
