--- a/crates/soak/src/series_faults.rs
+++ b/crates/soak/src/series_faults.rs
@@ -26,6 +26,9 @@
 /// may not have installed its handlers.
 const START_MS: u64 = 1_000;
 
+/// Milliseconds between two stops of whichever host runs longest.
+const MIN_STOP_GAP_MS: u64 = 50;
+
 /// Milliseconds for which instances go on failing after all hosts have restarted.
 const FAULT_AFTER_RESTART_MS: u64 = 4_000;
 
@@ -89,9 +92,13 @@
         }
         FaultKind::OldestStopped => {
             while fleet.now_ms() < end_ms {
-                let hosts = 0..fleet.size.hosts;
-                let oldest = hosts.min_by_key(|host| fleet.hosts[*host].started_ms.get());
-                stop_host(fleet, oldest.unwrap_or(0), 0).await?;
+                let running =
+                    (0..fleet.size.hosts).filter(|host| fleet.hosts[*host].down_count.get() == 0);
+                let oldest = running.min_by_key(|host| fleet.hosts[*host].started_ms.get());
+                if let Some(oldest) = oldest {
+                    stop_host(fleet, oldest, 0).await?;
+                }
+                sleep(Duration::from_millis(MIN_STOP_GAP_MS)).await;
             }
         }
         FaultKind::InstancesFault(choice) => {
