Forget the wakers of ended connections

Memory and time per wake-up grew with the number of connections since the start.

Each future now has a key, under which its waker is found and removed when the future is dropped.

--- a/crates/transport/src/stop_signal.rs
+++ b/crates/transport/src/stop_signal.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -12,7 +13,9 @@
 #[derive(Debug, Default)]
 struct SignalState {
     raised: Cell<bool>,
-    wakers: RefCell<Vec<Waker>>,
+    /// Wakers of the futures that wait, by the key of the future.
+    wakers: RefCell<HashMap<u64, Waker>>,
+    last_key: Cell<u64>,
 }
 
 /// Signal that wakes every waiting task when raised, and stays raised; clones share its state.
@@ -23,7 +26,7 @@
     /// Raises the signal for good.
     pub fn raise(&self) {
         self.0.raised.set(true);
-        for waker in self.0.wakers.take() {
+        for waker in self.0.wakers.take().into_values() {
             waker.wake();
         }
     }
@@ -33,27 +36,51 @@
         self.0.raised.get()
     }
 
+    /// Number of futures that wait for the signal.
+    pub fn waiting(&self) -> usize {
+        self.0.wakers.borrow().len()
+    }
+
     /// Waits until the signal is raised.
     pub fn raised(&self) -> RaisedFuture {
-        RaisedFuture(self.clone())
+        let key = self.0.last_key.get() + 1;
+        self.0.last_key.set(key);
+        RaisedFuture {
+            signal: self.clone(),
+            key,
+        }
     }
 }
 
 /// Future that completes when a [`StopSignal`] is raised.
 #[derive(Debug)]
-pub struct RaisedFuture(StopSignal);
+pub struct RaisedFuture {
+    signal: StopSignal,
+    key: u64,
+}
 
 impl Future for RaisedFuture {
     type Output = ();
 
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
-        if self.0.is_raised() {
+        if self.signal.is_raised() {
             return Poll::Ready(());
         }
-        let mut wakers = self.0.0.wakers.borrow_mut();
-        if !wakers.iter().any(|waker| waker.will_wake(cx.waker())) {
-            wakers.push(cx.waker().clone());
+        let mut wakers = self.signal.0.wakers.borrow_mut();
+        match wakers.get_mut(&self.key) {
+            Some(waker) => waker.clone_from(cx.waker()),
+            None => {
+                wakers.insert(self.key, cx.waker().clone());
+            }
         }
         Poll::Pending
     }
 }
+
+impl Drop for RaisedFuture {
+    fn drop(&mut self) {
+        // The waker is dropped after the borrow, as it may own the last reference to a task.
+        let waker = self.signal.0.wakers.borrow_mut().remove(&self.key);
+        drop(waker);
+    }
+}
