Serve what has arrived before a socket closes

What callers saw: around a stop, a connection that they had just opened, or a request that they had just sent on an idle one, ended with a reset.

Cause: the server dropped its listening socket, and idle connections, at the signal. The kernel then resets connections that wait to be accepted and connections with unread bytes, and a caller with a request on one cannot tell whether it ran. The window is the time that the host takes to turn to the socket, so it grows with load.

Ruled out by the tests: a request that was read and whose connection closes under it. hyper finishes each request that it has read.

Both sockets are now read for 10 ms more.

--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -6,10 +6,14 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use compio::net::TcpListener;
 use compio::net::TcpStream;
+use compio::time::timeout;
+use compio::time::timeout_at;
 use cyper_core::CompioTimer;
 use cyper_core::HyperStream;
 use futures_util::future::Either;
@@ -24,6 +28,12 @@
 use crate::ServerStop;
 use crate::connect::close_when_unacknowledged;
 
+/// Milliseconds for which a socket is still read after it was told to close.
+///
+/// The kernel resets a socket that is closed with connections or bytes that
+/// nobody has read, and the caller then cannot tell whether its request ran.
+const LAST_READ_MS: u64 = 10;
+
 /// Serves every accepted connection with `handler`, and accepts connections until `stop` closes
 /// the listener.
 ///
@@ -42,13 +52,23 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let handler = Rc::new(handler);
+    let mut closes_at = None;
     loop {
-        let accepted = {
-            let accept = pin!(listener.accept());
-            match select(accept, stop.listener_closed.raised()).await {
-                Either::Left((accepted, _)) => accepted,
-                Either::Right(_) => return,
+        let accepted = match closes_at {
+            None => {
+                let accept = pin!(listener.accept());
+                match select(accept, stop.listener_closed.raised()).await {
+                    Either::Left((accepted, _)) => accepted,
+                    Either::Right(_) => {
+                        closes_at = Some(Instant::now() + Duration::from_millis(LAST_READ_MS));
+                        continue;
+                    }
+                }
             }
+            Some(closes_at) => match timeout_at(closes_at, listener.accept()).await {
+                Ok(accepted) => accepted,
+                Err(_) => return,
+            },
         };
         let Ok((stream, address)) = accepted else {
             continue;
@@ -84,7 +104,11 @@
         .timer(CompioTimer)
         .serve_connection(HyperStream::new_plain(stream), service);
     let mut connection = pin!(connection);
-    if let Either::Right(_) = select(connection.as_mut(), stop.connections_closed.raised()).await {
+    if let Either::Left(_) = select(connection.as_mut(), stop.connections_closed.raised()).await {
+        return;
+    }
+    let last_read = Duration::from_millis(LAST_READ_MS);
+    if timeout(last_read, connection.as_mut()).await.is_err() {
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
