Let callers that just connected send before idle connections close

So this cause is suspected, not shown.

The host closed its listener and its idle connections at the same instant, just when the last address that it advertised expired. The tests of server_stop show such resets with connections that wait to be accepted and with requests that wait to be read.

The listener now closes 500 ms before the idle connections.

--- a/crates/daemon/src/planned_stop.rs
+++ b/crates/daemon/src/planned_stop.rs
@@ -2,8 +2,9 @@
 //!
 //! The host stops being advertised to callers and hands over its shards, while
 //! it still serves requests. Once every address that it advertised has
-//! expired, it closes the idle connections and waits for the requests in
-//! progress.
+//! expired, it accepts no more connections. It closes those that are idle
+//! somewhat later, because a caller that just connected still sends a request,
+//! and waits for the requests in progress.
 
 use std::time::Duration;
 
@@ -23,6 +24,8 @@
 const DRAIN_CHECK_MS: u64 = 50;
 /// Longest wait for requests in progress, in milliseconds.
 const MAX_DRAIN_MS: u64 = 60_000;
+/// Milliseconds from the end of the acceptance of connections until idle ones are closed.
+const LAST_REQUEST_MS: u64 = 500;
 /// Milliseconds for peers to learn that this host is stopping.
 const ANNOUNCEMENT_MS: u64 = 300;
 
@@ -43,6 +46,8 @@
     while ClockTime::now().since(stop_started_at) < u64::from(ttl) + ANNOUNCEMENT_MS {
         sleep(Duration::from_millis(DRAIN_CHECK_MS)).await;
     }
+    context.stop.close_listener();
+    sleep(Duration::from_millis(LAST_REQUEST_MS)).await;
     context.stop.close_connections();
     let drain_started_at = ClockTime::now();
     while context.stop.open_connections() > 0
