Explain refusals by what instances said about themselves

What callers saw: a refusal without any attempt named no instance, so that the logs did not tell why nothing took the request. Cause: a request's line named its instances, and without attempts none. Ruled out: naming all instances of the service in the line of each refusal. Change: the line names the service; explain then shows which instances of it had told the refusing host that they leave or want nothing. Figures: two new tests of explain; the one of a refusal without attempts has one line for three without the change, as no line then matches the request's service.

--- a/crates/edge/src/request_record.rs
+++ b/crates/edge/src/request_record.rs
@@ -97,7 +97,7 @@
         info!(logger, "request ended";
             "request" => self.id.as_str(), "outcome" => outcome, "status" => status,
             "millis" => millis, "budget_ms" => self.budget_ms, "route" => self.route.as_str(),
-            "workspace" => self.workspace.as_str(), "config_version" => self.config_version,
+            "service" => self.service.as_str(), "workspace" => self.workspace.as_str(), "config_version" => self.config_version,
             "evidence_age_ms" => self.evidence_age, "told_share" => self.assigned_share,
             "waiting_per_slot" => self.waiting_per_slot, "attempts" => attempts.join("; "),
             "attempt_count" => self.attempt_count);
--- a/crates/tool/src/explain_request.rs
+++ b/crates/tool/src/explain_request.rs
@@ -3,7 +3,8 @@
 //! Besides the request's own lines it shows lines from the seconds before them:
 //! changes of the instances that the request was sent to, of its workspace's
 //! limit and of the hosts that handled it, and other failed requests at the
-//! same instances. All lines are sorted by time.
+//! same instances. If no instance took the request, it shows the instances of
+//! the service that were leaving or wanted none. All lines are sorted by time.
 
 use std::collections::BTreeSet;
 use std::path::PathBuf;
@@ -36,6 +37,12 @@
     "configuration unreadable",
 ];
 
+/// Messages about what an instance said about itself.
+const SIGNAL_MESSAGES: [&str; 2] = ["instance says that it leaves", "instance wants no requests"];
+
+/// Outcomes of requests that no instance took because of what instances said.
+const UNSERVABLE_OUTCOMES: [&str; 2] = ["no_instance", "instances_on_hold"];
+
 /// Fields that are not printed as `name=value`.
 ///
 /// The first three start the printed line; the level is left out.
@@ -47,12 +54,13 @@
     fields: Map<String, Value>,
 }
 
-/// Hosts, instances and workspaces that the request's own lines name.
+/// Hosts, instances, workspaces and services without instances that the request's own lines name.
 #[derive(Default)]
 struct RequestNames {
     hosts: BTreeSet<String>,
     instances: BTreeSet<String>,
     workspaces: BTreeSet<String>,
+    unservable: BTreeSet<String>,
 }
 
 /// Lists the lines about the request `id` in the log files at `paths`.
@@ -156,6 +164,9 @@
             if !workspace.is_empty() {
                 names.workspaces.insert(workspace.to_owned());
             }
+            if UNSERVABLE_OUTCOMES.contains(&line.text("outcome")) {
+                names.unservable.insert(line.text("service").to_owned());
+            }
         }
         names
     }
@@ -167,6 +178,9 @@
             return false;
         }
         self.instances.contains(line.text("instance"))
+            || (SIGNAL_MESSAGES.contains(&message)
+                && self.unservable.contains(line.text("service"))
+                && self.hosts.contains(line.text("host")))
             || (message == "workspace limit" && self.workspaces.contains(line.text("workspace")))
             || (HOST_MESSAGES.contains(&message) && self.hosts.contains(line.text("host")))
     }
--- a/crates/tool/tests/explain.rs
+++ b/crates/tool/tests/explain.rs
@@ -44,3 +44,38 @@
         "no log line names the request r-9; a plain success is logged once in 64"
     );
 }
+
+/// Log lines of two hosts about instances that leave or want no requests.
+const SIGNAL_LOGS: &str = r#"
+{"msg":"instance wants no requests","ts":"2026-02-25T11:19:41Z","host":"h-1","instance":"i-7","service":"ledger","millis":2000}
+{"msg":"instance wants no requests","ts":"2026-02-25T11:19:41Z","host":"h-2","instance":"i-7","service":"ledger","millis":300}
+{"msg":"instance says that it leaves","ts":"2026-02-25T11:19:41.5Z","host":"h-1","instance":"i-8","service":"ledger","cause":"told by a host"}
+{"msg":"instance says that it leaves","ts":"2026-02-25T11:19:41.5Z","host":"h-1","instance":"i-9","service":"archive","cause":"its response"}
+{"msg":"request ended","ts":"2026-02-25T11:19:42Z","host":"h-1","request":"r-1","outcome":"instances_on_hold","service":"ledger","attempts":""}
+{"msg":"request ended","ts":"2026-02-25T11:19:42Z","host":"h-1","request":"r-2","outcome":"not_run_anywhere","service":"archive","attempts":"i-8 shed 1ms faulty=5% load=1"}
+"#;
+
+#[test]
+fn refusal_without_attempts_is_explained_by_what_instances_said_to_its_host() {
+    let explanation = explain_request("r-1", SIGNAL_LOGS).unwrap();
+    let lines: Vec<&str> = explanation.lines().collect();
+    assert_eq!(
+        lines,
+        [
+            "2026-02-25T11:19:41.000Z h-1 instance wants no requests instance=\"i-7\" millis=\"2000\" \
+             service=\"ledger\"",
+            "2026-02-25T11:19:41.500Z h-1 instance says that it leaves cause=\"told by a host\" \
+             instance=\"i-8\" service=\"ledger\"",
+            "2026-02-25T11:19:42.000Z h-1 request ended attempts=\"\" outcome=\"instances_on_hold\" \
+             request=\"r-1\" service=\"ledger\"",
+        ]
+    );
+}
+
+#[test]
+fn attempt_is_explained_by_what_its_instance_said_to_any_host() {
+    let explanation = explain_request("r-2", SIGNAL_LOGS).unwrap();
+    let lines: Vec<&str> = explanation.lines().collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(lines[0].contains("instance says that it leaves") && lines[0].contains("i-8"));
+}
