Bound the retries that hosts send between two rounds of their hub

What callers saw: two services got more repeats in ten seconds than the budget of the fleet allows, one of them in the first window of the traffic.

Cause: the hubs limited retries by a share that followed the counted ones. While the share was 1, a host sent any number of retries until its hub had counted the first ones and answered; hubs that did not know each other yet each gave out the budget of the whole fleet; and hosts had a part of their own beside it. The class: a feedback loop that is bounded only on average, and parts whose sum nobody holds.

Shown by a model of the fleet with late and lost datagrams, several hubs and restarts. Restarts alone, of hubs in turn or of all hosts, stayed inside it there.

Change: a hub grants each reporting host a number of retries, counted from the host's start, so a host stops there however late the next answer is. All that hosts sent in the window and all grants that may still be used stay within the ratio of their requests and their part of the slack. Hosts report their own window, so a new hub starts from it and not from zero, and hubs need no exchange about it. The share of the pool only spreads the grants. Without a hub a host has what its requests added since the last grant.

--- a/crates/edge/src/config_reader.rs
+++ b/crates/edge/src/config_reader.rs
@@ -208,7 +208,16 @@
         "routes" => config.routes.iter().count(), "workspaces" => config.workspaces.len());
     context.metrics.config_version.set(config.version as i64);
     context.evidence.borrow_mut().clear_peer_evidence();
-    *context.limit_index.borrow_mut() = LimitIndex::new(&config);
+    let limit_index = LimitIndex::new(&config);
+    {
+        // Hubs grant retries at the services that hosts report, so that the first failure finds a
+        // grant.
+        let mut accounts = context.retry_accounts.borrow_mut();
+        for service in limit_index.services() {
+            accounts.entry(service.clone()).or_default();
+        }
+    }
+    *context.limit_index.borrow_mut() = limit_index;
     *context.config.borrow_mut() = Some(Rc::new(config));
 }
 
--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -13,6 +13,7 @@
 use crocushoist_policy::ConfigEvidence;
 use crocushoist_policy::DeploymentConfig;
 use crocushoist_policy::EstimateFeed;
+use crocushoist_policy::FleetBudget;
 use crocushoist_policy::FleetLimit;
 use crocushoist_policy::HostRegistration;
 use crocushoist_policy::HostRoster;
@@ -20,7 +21,9 @@
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::LimitIndex;
 use crocushoist_policy::ReadSharing;
-use crocushoist_policy::RetryBudget;
+use crocushoist_policy::RetryAccount;
+use crocushoist_policy::RetryLedger;
+use crocushoist_policy::WindowHistory;
 use crocushoist_policy::WindowLimit;
 use crocushoist_policy::WorkspaceGate;
 use crocushoist_policy::WorkspaceSpec;
@@ -42,6 +45,10 @@
 /// Evidence older than this fraction of `revoke_ms` keeps the host from accepting new callers.
 const ACCEPT_CALLERS_FRACTION: f64 = 0.56;
 
+/// Milliseconds after its start from which a host knows its retries in the last window of the
+/// budget.
+const RETRY_HISTORY_MS: u64 = 10_500;
+
 /// Evidence older than this fraction of `revoke_ms` makes the host refuse requests with a key.
 ///
 /// The rest covers the time between the caller's send and the admission.
@@ -113,8 +120,12 @@
     pub(crate) workspace_gates: RefCell<HashMap<CompactString, WorkspaceGate>>,
     /// Shares that the hub assigned.
     pub(crate) assigned_shares: RefCell<AssignedShares>,
-    /// Retry budgets, by the name of the service.
-    pub(crate) retry_budgets: RefCell<HashMap<CompactString, RetryBudget>>,
+    /// Retries of this host, by the name of the service.
+    pub(crate) retry_accounts: RefCell<HashMap<CompactString, RetryAccount>>,
+    /// At the hub: retries of the hosts that report to this one.
+    pub(crate) retry_ledger: RefCell<RetryLedger>,
+    /// Sequence number of the report whose answer had the retry grants in force.
+    pub(crate) retry_granted: Cell<u32>,
     /// Registered hosts.
     pub(crate) roster: RefCell<HostRoster>,
     /// Sums over the hosts that report to this one.
@@ -190,7 +201,9 @@
             hub_reads_listing: Cell::new(true),
             workspace_gates: RefCell::default(),
             assigned_shares: RefCell::default(),
-            retry_budgets: RefCell::default(),
+            retry_accounts: RefCell::default(),
+            retry_ledger: RefCell::default(),
+            retry_granted: Cell::new(0),
             roster: RefCell::default(),
             aggregator: RefCell::default(),
             estimate_feed: RefCell::default(),
@@ -366,6 +379,26 @@
         shares.share_of(retry_pool_key(service), now)
     }
 
+    /// What this host knows of its retries in the last window of the budget.
+    pub(crate) fn retry_history(&self, now: ClockTime) -> WindowHistory {
+        if now.since(self.started_at) > RETRY_HISTORY_MS {
+            WindowHistory::Complete
+        } else if self.settings.is_first_start {
+            WindowHistory::FirstStart
+        } else {
+            WindowHistory::Lost
+        }
+    }
+
+    /// Budget of the fleet for the retries at one service.
+    pub(crate) fn fleet_budget(&self) -> FleetBudget {
+        FleetBudget {
+            ratio: self.settings.retry_ratio,
+            slack: self.settings.retry_slack,
+            hosts: self.fleet_size(),
+        }
+    }
+
     /// Milliseconds since the hub's shares arrived.
     pub(crate) fn shares_age(&self, now: ClockTime) -> Option<u64> {
         let received_at = self.assigned_shares.borrow().received_at?;
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -15,6 +15,8 @@
 use crocushoist_policy::FeedCursor;
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::ReporterId;
+use crocushoist_policy::RetryGrant;
+use crocushoist_policy::RetryReport;
 use crocushoist_policy::ServiceCounts;
 use crocushoist_policy::WorkspaceCounts;
 use crocushoist_policy::name_hash;
@@ -69,10 +71,14 @@
         refused: gate.refused,
         in_window: None,
     });
-    let budgets = context.retry_budgets.borrow();
-    let retries = budgets
+    let mut accounts = context.retry_accounts.borrow_mut();
+    let retry_counts = accounts
+        .iter_mut()
+        .map(|(service, account)| (&account.counts(service, now)).into());
+    let retry_counts = retry_counts.collect();
+    let retries = accounts
         .iter()
-        .map(|(service, budget)| budget.counts(service));
+        .map(|(service, account)| account.pool_counts(service));
     let (uses, has_all_uses) = selection.select(workspaces.chain(retries).collect(), now);
     let mut table = context.instances.borrow_mut();
     HostReport {
@@ -94,6 +100,9 @@
         outcomes: table.take_counts().iter().map(Into::into).collect(),
         used_trials: table.take_used_trials(),
         services: table.take_service_counts().iter().map(Into::into).collect(),
+        retries: retry_counts,
+        retry_granted: context.retry_granted.get(),
+        retry_history: context.retry_history(now).into(),
     }
 }
 
@@ -119,6 +128,15 @@
     aggregator.set_host_load(peer_address, report.in_flight.clone());
     aggregator.update_limiters(|key| context.limit_of_key(key, now), now);
     aggregator.update_fleet_load(now);
+    let retry_report = RetryReport {
+        number: report.number,
+        granted: report.retry_granted,
+        history: report.retry_history.into(),
+        counts: report.retries.iter().map(Into::into).collect(),
+    };
+    let host_start = (peer_address, report.incarnation);
+    let mut ledger = context.retry_ledger.borrow_mut();
+    ledger.apply_report(host_start, &retry_report, now);
     let mut table = context.instances.borrow_mut();
     for wire in &report.services {
         aggregator.add_service_counts(wire.into());
@@ -158,10 +176,11 @@
     }
 }
 
-/// Answer to `report`. Trial requests are assigned only by a hub, and only to a host that accepts
+/// Answer to `report` of the host at `peer_address`. Trial requests are assigned only by a hub, and only to a host that accepts
 /// callers.
 pub(crate) fn new_answer(
     context: &EdgeContext,
+    peer_address: SocketAddr,
     report: &HostReport,
     cursor: &mut FeedCursor,
     now: ClockTime,
@@ -215,6 +234,9 @@
         .collect();
     let shares = aggregator.shares(|key| context.limit_of_key(key, now), now);
     let advertised_hosts = context.advertised_hosts.borrow();
+    let host_start = (peer_address, report.incarnation);
+    let mut ledger = context.retry_ledger.borrow_mut();
+    let grants = ledger.grants(host_start, report.number, context.fleet_budget(), now);
     HubAnswer {
         number: report.number,
         is_follower: !context.is_hub.get(),
@@ -235,6 +257,7 @@
         trials,
         fleet: (advertised_hosts.hash != report.fleet_hash).then(|| advertised_hosts.hosts.clone()),
         fleet_hash: advertised_hosts.hash,
+        retry_grants: grants.iter().map(Into::into).collect(),
     }
 }
 
@@ -315,6 +338,7 @@
         );
     }
     drop(table);
+    apply_retry_grants(context, &answer, report_sent_at);
     apply_assignments(context, &answer, now);
     let mut advertised_hosts = context.advertised_hosts.borrow_mut();
     if let Some(hosts) = answer.fleet {
@@ -349,6 +373,27 @@
         .collect();
 }
 
+/// Applies the retry grants of an answer to a report that was sent at `report_sent_at`, unless those
+/// in force are newer.
+pub(crate) fn apply_retry_grants(
+    context: &EdgeContext,
+    answer: &HubAnswer,
+    report_sent_at: ClockTime,
+) {
+    if answer.number <= context.retry_granted.get() || answer.retry_grants.is_empty() {
+        return;
+    }
+    context.retry_granted.set(answer.number);
+    let mut accounts = context.retry_accounts.borrow_mut();
+    for grant in answer.retry_grants.iter().map(RetryGrant::from) {
+        let mut by_name = accounts.iter_mut();
+        let account = by_name.find(|(service, _)| name_hash(service) == grant.service);
+        if let Some((_, account)) = account {
+            account.apply_grant(grant.ceiling, report_sent_at);
+        }
+    }
+}
+
 /// Logs, at the hub, each workspace whose limit starts or stops taking effect.
 ///
 /// Compares `shares` with the assigned ones, so this must run before [`apply_assignments`].
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -24,8 +24,11 @@
 use crocushoist_policy::InstanceState;
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::Presence;
+use crocushoist_policy::RetryCounts;
+use crocushoist_policy::RetryGrant;
 use crocushoist_policy::ServiceCounts;
 use crocushoist_policy::TrialOffer;
+use crocushoist_policy::WindowHistory;
 use crocushoist_policy::WorkspaceCounts;
 use crocushoist_state::ClockTime;
 
@@ -75,6 +78,12 @@
     pub(crate) used_trials: Vec<u32>,
     /// Requests that ended since the last report, by service.
     pub(crate) services: Vec<WireServiceCounts>,
+    /// Requests and retries of the last window of the retry budget, by service.
+    pub(crate) retries: Vec<WireRetryCounts>,
+    /// Sequence number of the report whose answer had the retry grants in force.
+    pub(crate) retry_granted: u32,
+    /// What the host knows of its retries in the last window.
+    pub(crate) retry_history: WireHistory,
 }
 
 /// Answer of a hub to a report.
@@ -116,6 +125,8 @@
     pub(crate) fleet: Option<Vec<(CompactString, SocketAddr)>>,
     /// Hash of these hosts.
     pub(crate) fleet_hash: u32,
+    /// Retries that the reporter may send, by service; empty while the hub is warming up.
+    pub(crate) retry_grants: Vec<WireRetryGrant>,
 }
 
 /// Summary of a hub's data centre for another hub.
@@ -227,6 +238,76 @@
     }
 }
 
+/// Hash of a service's name, its requests and its retries in the last window, and its retries since
+/// the start of the host.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireRetryCounts(u32, u32, u32, u32);
+
+impl From<&RetryCounts> for WireRetryCounts {
+    fn from(counts: &RetryCounts) -> Self {
+        WireRetryCounts(counts.service, counts.requests, counts.retries, counts.sent)
+    }
+}
+
+impl From<&WireRetryCounts> for RetryCounts {
+    fn from(wire: &WireRetryCounts) -> Self {
+        RetryCounts {
+            service: wire.0,
+            requests: wire.1,
+            retries: wire.2,
+            sent: wire.3,
+        }
+    }
+}
+
+/// Hash of a service's name, and the retries since the start of the host up to which it may send
+/// them.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireRetryGrant(u32, u32);
+
+impl From<&RetryGrant> for WireRetryGrant {
+    fn from(grant: &RetryGrant) -> Self {
+        WireRetryGrant(grant.service, grant.ceiling)
+    }
+}
+
+impl From<&WireRetryGrant> for RetryGrant {
+    fn from(wire: &WireRetryGrant) -> Self {
+        RetryGrant {
+            service: wire.0,
+            ceiling: wire.1,
+        }
+    }
+}
+
+/// What a host knows of its retries in the last window.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum WireHistory {
+    Complete,
+    FirstStart,
+    Lost,
+}
+
+impl From<WindowHistory> for WireHistory {
+    fn from(history: WindowHistory) -> Self {
+        match history {
+            WindowHistory::Complete => WireHistory::Complete,
+            WindowHistory::FirstStart => WireHistory::FirstStart,
+            WindowHistory::Lost => WireHistory::Lost,
+        }
+    }
+}
+
+impl From<WireHistory> for WindowHistory {
+    fn from(wire: WireHistory) -> Self {
+        match wire {
+            WireHistory::Complete => WindowHistory::Complete,
+            WireHistory::FirstStart => WindowHistory::FirstStart,
+            WireHistory::Lost => WindowHistory::Lost,
+        }
+    }
+}
+
 /// Outcomes of attempts at one instance, which is given by the hash of its id.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireOutcomes {
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -26,6 +26,7 @@
 use crate::hub_exchange::apply_answer;
 use crate::hub_exchange::apply_assignments;
 use crate::hub_exchange::apply_report;
+use crate::hub_exchange::apply_retry_grants;
 use crate::hub_exchange::apply_summary;
 use crate::hub_exchange::log_limit_changes;
 use crate::hub_exchange::new_answer;
@@ -233,9 +234,14 @@
     /// Acts as hub, with this host as one of its reporters.
     async fn act_as_hub(&self, round: u32, now: ClockTime) {
         let own_address = self.context.own_host.peer_address;
+        let number = {
+            let mut reports = self.reports.borrow_mut();
+            reports.number += 1;
+            reports.number
+        };
         let report = new_report(
             &self.context,
-            0,
+            number,
             true,
             &mut CounterSelection::default(),
             now,
@@ -246,10 +252,11 @@
         self.publish_totals(round, now).await;
         update_advertised_hosts(&self.context, now);
         let mut cursor = FeedCursor::default();
-        let answer = new_answer(&self.context, &report, &mut cursor, now);
+        let answer = new_answer(&self.context, own_address, &report, &mut cursor, now);
         if let Some(shares) = &answer.shares {
             log_limit_changes(&self.context, shares);
         }
+        apply_retry_grants(&self.context, &answer, now);
         apply_assignments(&self.context, &answer, now);
     }
 
@@ -360,7 +367,7 @@
                         entry.incarnation = report.incarnation;
                         entry.cursor = FeedCursor::default();
                     }
-                    new_answer(&self.context, &report, &mut entry.cursor, now)
+                    new_answer(&self.context, peer, &report, &mut entry.cursor, now)
                 };
                 self.send_to(peer, &PeerMessage::Answer(answer)).await;
             }
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -355,28 +355,25 @@
 
     /// Whether the retry budget of the service probably has a retry left; a missing one has none.
     fn has_retry_budget(&self) -> bool {
-        let share = self.context.retry_share(&self.service, ClockTime::now());
-        let budgets = self.context.retry_budgets.borrow();
-        let budget = budgets.get(&self.service);
-        budget.is_some_and(|budget| budget.is_affordable(share))
+        let now = ClockTime::now();
+        let share = self.context.retry_share(&self.service, now);
+        let accounts = self.context.retry_accounts.borrow();
+        let account = accounts.get(&self.service);
+        account.is_some_and(|account| account.is_affordable(share, now))
     }
 
     /// Takes one retry from the budget of the service; returns false if it has none left. A missing
     /// budget is created with less than one retry.
     fn try_withdraw_retry(&self, reason: &'static str, record: &mut RequestRecord) -> bool {
-        let share = self.context.retry_share(&self.service, ClockTime::now());
-        let is_allowed = {
-            let mut budgets = self.context.retry_budgets.borrow_mut();
-            let budget = budgets.entry(self.service.clone()).or_default();
-            budget.try_withdraw(share, rand::random())
+        let now = ClockTime::now();
+        let share = self.context.retry_share(&self.service, now);
+        let payment = {
+            let mut accounts = self.context.retry_accounts.borrow_mut();
+            let account = accounts.entry(self.service.clone()).or_default();
+            account.withdraw(share, rand::random(), now)
         };
-        let payment = match share {
-            Some(_) => RetryPayment::Pool,
-            None => RetryPayment::OwnPart,
-        };
-        let payment = is_allowed.then_some(payment);
         self.record_retry(payment, share, reason, record);
-        is_allowed
+        payment.is_some()
     }
 
     /// Counts and records whether a retry or a hedge was allowed, and why.
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -293,14 +293,14 @@
     }
 }
 
-/// Adds the fraction of a retry that a new request allows to this host's retry budget for
-/// `service`.
+/// Counts a new request for the retry budget of `service`.
 fn deposit_retry(context: &EdgeContext, service: &str) {
     let hosts = context.fleet_size();
     let settings = &context.settings;
-    let mut budgets = context.retry_budgets.borrow_mut();
-    let budget = budgets.entry(service.into()).or_default();
-    budget.deposit(settings.retry_ratio, settings.retry_slack, hosts);
+    let mut accounts = context.retry_accounts.borrow_mut();
+    let account = accounts.entry(service.into()).or_default();
+    let now = ClockTime::now();
+    account.add_request(settings.retry_ratio, settings.retry_slack, hosts, now);
 }
 
 /// Milliseconds until the caller must have its response: the shorter of the caller's deadline and
--- a/crates/policy/src/limit_index.rs
+++ b/crates/policy/src/limit_index.rs
@@ -39,6 +39,14 @@
         LimitIndex { by_key }
     }
 
+    /// Names of the services.
+    pub fn services(&self) -> impl Iterator<Item = &CompactString> {
+        self.by_key.values().filter_map(|limit| match limit {
+            FleetLimit::Retries(service) => Some(service),
+            FleetLimit::Workspace(_) => None,
+        })
+    }
+
     /// Limit with the key `key`.
     pub fn find(&self, key: u32) -> Option<&FleetLimit> {
         self.by_key.get(&key)
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -76,6 +76,16 @@
         }
     }
 
+    /// Takes back what was deposited.
+    pub(crate) fn clear_balance(&mut self) {
+        self.balance = 0.0;
+    }
+
+    /// Repeated requests sent since the host started.
+    pub(crate) fn sent(&self) -> u32 {
+        self.sent
+    }
+
     /// Repeated requests sent and denied since the host started, for the pool of `service`.
     pub fn counts(&self, service: &str) -> WorkspaceCounts {
         WorkspaceCounts {
--- /dev/null
+++ b/crates/policy/src/sliding_count.rs
@@ -0,0 +1,53 @@
+//! Count of events in a sliding window.
+
+use std::collections::VecDeque;
+
+use crocushoist_state::ClockTime;
+
+/// Length in milliseconds of the interval whose events are kept as one number.
+const BUCKET_MS: u64 = 250;
+
+/// Count of events in a sliding window.
+#[derive(Clone, Debug)]
+pub(crate) struct SlidingCount {
+    window_ms: u64,
+    /// Begins and events of the intervals, oldest first.
+    buckets: VecDeque<(ClockTime, u32)>,
+    sum: u32,
+}
+
+impl SlidingCount {
+    /// Count over `window_ms`; an interval counts until its begin leaves the window.
+    pub(crate) fn new(window_ms: u64) -> Self {
+        SlidingCount {
+            window_ms,
+            buckets: VecDeque::new(),
+            sum: 0,
+        }
+    }
+
+    /// Adds one event.
+    pub(crate) fn add(&mut self, now: ClockTime) {
+        self.drop_expired(now);
+        self.sum += 1;
+        match self.buckets.back_mut() {
+            Some((begin, count)) if now.since(*begin) < BUCKET_MS => *count += 1,
+            _ => self.buckets.push_back((now, 1)),
+        }
+    }
+
+    /// Number of events in the window that ends now.
+    pub(crate) fn in_window(&mut self, now: ClockTime) -> u32 {
+        self.drop_expired(now);
+        self.sum
+    }
+
+    fn drop_expired(&mut self, now: ClockTime) {
+        while let Some((begin, count)) = self.buckets.front().copied()
+            && now.since(begin) > self.window_ms
+        {
+            self.buckets.pop_front();
+            self.sum -= count;
+        }
+    }
+}
