--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -151,6 +151,8 @@
     pub(crate) hub_answered_at: Cell<Option<ClockTime>>,
     /// When the last request of a caller arrived.
     pub(crate) last_request_at: Cell<Option<ClockTime>>,
+    /// When this host last logged that an instance sent an unreadable header.
+    pub(crate) unreadable_signal_logged_at: Cell<Option<ClockTime>>,
     /// Start of the process.
     pub(crate) started_at: ClockTime,
     /// Start of the planned stop, `None` before it.
@@ -209,6 +211,7 @@
             hub_known_since: Cell::new(None),
             hub_answered_at: Cell::new(None),
             last_request_at: Cell::new(None),
+            unreadable_signal_logged_at: Cell::new(None),
             started_at: ClockTime::now(),
             stop_started_at: Cell::new(None),
             in_progress: Rc::default(),
@@ -372,6 +375,12 @@
         shares.share_of(retry_pool_key(service), now)
     }
 
+    /// Milliseconds since the hub's shares arrived.
+    pub(crate) fn shares_age(&self, now: ClockTime) -> Option<u64> {
+        let received_at = self.assigned_shares.borrow().received_at?;
+        Some(now.since(received_at))
+    }
+
     /// Limit of `workspace`.
     pub(crate) fn limit_of(&self, workspace: &WorkspaceSpec) -> WindowLimit {
         WindowLimit {
