Leave only a write to the handlers of signals

Cause: the listener that kept the handler installed went with the runtime, before the process did. Suspected, not shown. Change: signal-hook installs a handler for good that writes a byte to a socket pair; a task of the runtime reads it. Ruled out: leaking the listener (leaves the second hazard); a thread that waits for blocked signals (a thread more on each host). Conclusion: no signal of an operator falls back to its default action any more.

--- a/crates/transport/src/process_signal.rs
+++ b/crates/transport/src/process_signal.rs
@@ -1,68 +1,53 @@
-//! Signal that the process handles itself from [`ProcessSignal::listen`] on.
+//! Signal that the process handles itself from [`ProcessSignal::listen`] to its end.
 //!
-//! A listener of the runtime restores the signal's default action when it
-//! completes, and the default action of most signals ends the process. A second
-//! listener, which is registered and never awaited, keeps the handler installed
-//! as long as this value lives, whatever its owner does meanwhile.
+//! The handler only writes a byte to a socket pair, which a task of the runtime
+//! reads. It stays installed for good: a handler that goes with the task that
+//! waits leaves the signal to its default action, which ends the process, and one
+//! that wakes the task itself would change the runtime's queues while they are
+//! in use.
 //!
-//! The next listener is registered before a received signal is reported, so a
-//! signal that arrives while the last one is handled is not lost. Signals that
-//! arrive before the owner waits again count as one.
+//! Signals that arrive before the owner waits again count as one.
 
-use std::fmt;
-use std::future::Future;
 use std::io;
-use std::pin::Pin;
-use std::task::Context;
-use std::task::Poll;
-use std::task::Waker;
+use std::os::unix::net::UnixStream as StdStream;
 
-type SignalListener = Pin<Box<dyn Future<Output = io::Result<()>>>>;
+use compio::BufResult;
+use compio::io::AsyncRead;
+use compio::net::UnixStream;
 
-/// Signal that never falls back to its default action while this value lives.
+/// Signals that are taken at once; any more are taken by the next call.
+const MAX_SIGNALS: usize = 1_024;
+
+/// Signal that never falls back to its default action.
+#[derive(Debug)]
 pub struct ProcessSignal {
-    number: i32,
-    listener: SignalListener,
-    _keeper: SignalListener,
+    /// Reading end, until the runtime takes it over.
+    receiver: Option<StdStream>,
+    stream: Option<UnixStream>,
 }
 
 impl ProcessSignal {
-    /// Installs the handler of the signal `number`; fails if there is no such signal.
+    /// Installs the handler of the signal `number`; fails if the system refuses it.
     pub fn listen(number: i32) -> io::Result<Self> {
+        let (receiver, sender) = StdStream::pair()?;
+        receiver.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(number, sender)?;
         Ok(ProcessSignal {
-            number,
-            listener: register(number)?,
-            _keeper: register(number)?,
+            receiver: Some(receiver),
+            stream: None,
         })
     }
 
     /// Waits until the signal arrives, or returns at once if it did since the last call.
     pub async fn received(&mut self) -> io::Result<()> {
-        self.listener.as_mut().await?;
-        self.listener = register(self.number)?;
-        Ok(())
-    }
-}
-
-impl fmt::Debug for ProcessSignal {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter
-            .debug_struct("ProcessSignal")
-            .field("number", &self.number)
-            .finish_non_exhaustive()
-    }
-}
-
-/// Listener of the signal `number`, which is registered by its first poll.
-fn register(number: i32) -> io::Result<SignalListener> {
-    let mut listener: SignalListener = Box::pin(compio::signal::unix::signal(number));
-    match listener
-        .as_mut()
-        .poll(&mut Context::from_waker(Waker::noop()))
-    {
-        Poll::Ready(Err(error)) => Err(error),
-        // The signal arrived in between; the listener must report it when awaited.
-        Poll::Ready(Ok(())) => Ok(Box::pin(std::future::ready(Ok(())))),
-        Poll::Pending => Ok(listener),
+        if let Some(receiver) = self.receiver.take() {
+            self.stream = Some(UnixStream::from_std(receiver)?);
+        }
+        let stream = self.stream.as_mut().ok_or(io::ErrorKind::NotConnected)?;
+        let BufResult(read, _) = stream.read(Vec::with_capacity(MAX_SIGNALS)).await;
+        match read? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
     }
 }
