Take a retry after a misdirected attempt from the budget

An attempt that another instance answers with 421 counted as not delivered, so the next one was free, up to three times in a request. At the platform it has arrived, like every arrival that an instance rejects. After a wave of instances whose addresses others took over, each request of each host that knows the old entries repeats once or more outside of the budget.

Retries are now free only until an attempt has reached any instance. Whether the attempt counts against the limits of attempts that were not delivered or shed is unchanged. Hedges were charged before they are sent already, also if no instance is found for them.

--- a/crates/edge/src/instance_attempt.rs
+++ b/crates/edge/src/instance_attempt.rs
@@ -47,6 +47,9 @@
 /// Milliseconds before the instance's keep-alive timeout at which an idle connection is closed.
 const IDLE_MARGIN_MS: u64 = 1_500;
 
+/// Cause of an attempt that another instance received at the listed address.
+const MISDIRECTED: &str = "misdirected";
+
 /// Result of an attempt.
 #[derive(Debug)]
 pub(crate) enum AttemptResult {
@@ -70,6 +73,20 @@
 }
 
 impl AttemptResult {
+    /// Whether any instance may have received the request, the chosen one or another one.
+    pub(crate) fn has_arrived(&self) -> bool {
+        match self {
+            AttemptResult::NotRun {
+                reason: MISDIRECTED,
+                ..
+            } => true,
+            AttemptResult::NotRun {
+                reached_instance, ..
+            } => *reached_instance,
+            _ => true,
+        }
+    }
+
     /// Name in logs and metrics.
     pub(crate) fn name(&self) -> &'static str {
         match self {
@@ -171,7 +188,7 @@
     if head.status.as_u16() == names::MISDIRECTED_STATUS {
         guard.record_misdirected();
         return AttemptResult::NotRun {
-            reason: "misdirected",
+            reason: MISDIRECTED,
             reached_instance: false,
         };
     }
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -4,8 +4,7 @@
 //! Invariants: an at-most-once request is sent again only if it certainly was
 //! not run. A refusal claims that the request was not run only if that is
 //! certain. Retries and hedges stay within this host's part of the fleet's retry
-//! budget for the service; retries are free until an attempt reaches its chosen
-//! instance.
+//! budget for the service; retries are free until an attempt reaches an instance.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -85,6 +84,8 @@
     possibly_run: u32,
     /// Number of attempts that the chosen instance shed.
     shed: u32,
+    /// Whether an attempt reached any instance.
+    has_arrived: bool,
     /// Number of attempts that did not reach the chosen instance; of a hedged pair, only the one
     /// that ends last is counted.
     undelivered: u32,
@@ -234,6 +235,7 @@
         record: &mut RequestRecord,
     ) -> AttemptResult {
         let result = ended.result;
+        progress.has_arrived |= result.has_arrived();
         match result {
             AttemptResult::NotRun {
                 reached_instance: false,
@@ -296,7 +298,7 @@
     /// Reason to refuse a further attempt, `None` to allow it.
     ///
     /// An allowed attempt is taken from the retry budget, even if no instance is found for it
-    /// afterwards. It is free if no attempt has reached its chosen instance yet.
+    /// afterwards. It is free if no attempt has reached an instance yet.
     fn refuse_retry(
         &self,
         progress: &AttemptProgress,
@@ -312,12 +314,11 @@
         if progress.undelivered > MAX_UNDELIVERED {
             return Some(EdgeReason::NotSent);
         }
-        let is_first_delivery = progress.possibly_run + progress.shed == 0;
         let is_exhausted = progress.possibly_run >= self.max_attempts || progress.shed > MAX_SHED;
         if is_exhausted {
             return Some(EdgeReason::RetriesExhausted);
         }
-        if is_first_delivery {
+        if !progress.has_arrived {
             let payment = Some(RetryPayment::Free);
             self.record_retry(payment, None, result_name, record);
             return None;
