Let no host lend the ratio of requests that another hub counts

Found by a reviewer: a host that moved to another hub went on adding its unused ratio at the hub it left, while its new hub counts the same requests; answers to reports of an earlier start could match one of this start; and retries left the window up to 250 ms early. Cause: the ledger took old reports for capacity, report numbers began at 1, and an interval leaves by its begin. Change: an old report covers only the host's own retries; numbers begin at random; the window of retries is one interval longer. Ruled out: the incarnation in each answer (bytes in every datagram). Conclusion: by reading, no capacity counts twice.

--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -54,6 +54,9 @@
 /// Number of sent reports whose answers are still accepted.
 const MAX_PENDING_REPORTS: usize = 32;
 
+/// Bound of the sequence number with which a host starts; far from where the number wraps around.
+const MAX_FIRST_NUMBER: u32 = 1 << 30;
+
 /// Maximum size of a datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 32 * 1024;
 
@@ -99,7 +102,11 @@
         Rc::new(PeerTasks {
             context,
             socket,
-            reports: RefCell::default(),
+            reports: RefCell::new(SentReports {
+                // An answer to a report of an earlier start must not match one of this start.
+                number: rand::random_range(0..MAX_FIRST_NUMBER),
+                ..Default::default()
+            }),
             hub_incarnations: RefCell::default(),
             summary_selections: RefCell::default(),
             cursors: RefCell::default(),
--- a/crates/policy/src/retry_account.rs
+++ b/crates/policy/src/retry_account.rs
@@ -13,6 +13,7 @@
 use crate::RetryPayment;
 use crate::WorkspaceCounts;
 use crate::name_hash;
+use crate::sliding_count::BUCKET_MS;
 use crate::sliding_count::SlidingCount;
 
 /// Length in milliseconds of the window in which the platform counts retries and requests.
@@ -57,7 +58,8 @@
             budget,
             grant: None,
             requests: SlidingCount::new(BUDGET_WINDOW_MS),
-            retries: SlidingCount::new(BUDGET_WINDOW_MS + MAX_ARRIVAL_DELAY_MS),
+            // An interval leaves by its begin, the last of its retries later.
+            retries: SlidingCount::new(BUDGET_WINDOW_MS + MAX_ARRIVAL_DELAY_MS + BUCKET_MS),
         }
     }
 }
--- a/crates/policy/src/retry_ledger.rs
+++ b/crates/policy/src/retry_ledger.rs
@@ -263,7 +263,13 @@
             let age_ms = now.since(reporter.seen_at).min(BUDGET_WINDOW_MS);
             let in_window = 1.0 - age_ms as f64 / BUDGET_WINDOW_MS as f64;
             let requests = f64::from(entry.counts.requests) * in_window;
-            sums.capacity += requests * budget.ratio * RATIO_FRACTION;
+            let ratio_part = requests * budget.ratio * RATIO_FRACTION;
+            sums.capacity += if reporter.is_recent(now) {
+                ratio_part
+            } else {
+                // Another hub may count its requests, so they cover no retries of other hosts.
+                ratio_part.min(f64::from(entry.counts.retries) + entry.open_retries)
+            };
             sums.sent += f64::from(entry.counts.retries);
             if other != host {
                 sums.others_open += entry.open_retries;
--- a/crates/policy/src/sliding_count.rs
+++ b/crates/policy/src/sliding_count.rs
@@ -5,7 +5,7 @@
 use crocushoist_state::ClockTime;
 
 /// Length in milliseconds of the interval whose events are kept as one number.
-const BUCKET_MS: u64 = 250;
+pub(crate) const BUCKET_MS: u64 = 250;
 
 /// Count of events in a sliding window.
 #[derive(Clone, Debug)]
