Check a stop again when the body has arrived, and read the listener once more

Found by a reviewer: a request whose head came early and whose body came late was admitted as if all of it had come early; and without an open connection a stop ended before the listener was read for the last time, so callers that had just connected saw a reset. Change: the stop is checked after the body too, a connection counts from its acceptance, and the stop waits once after it closes the listener. Figures: planned_stop and server_stop pass; no test sends its body slowly.

--- a/crates/edge/src/graceful_stop.rs
+++ b/crates/edge/src/graceful_stop.rs
@@ -30,6 +30,8 @@
         "in_progress" => context.in_progress.len());
     sleep_until(started_at.plus(plan.close_listener_ms())).await;
     context.stop.close_listener();
+    // The listener is read once more before it closes.
+    sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
     wait_for_connections(context, started_at.plus(plan.close_idle_ms())).await;
     context.stop.close_connections();
     wait_for_connections(context, started_at.plus(plan.end_ms())).await;
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -131,6 +131,10 @@
     let body = read_body(body, &config, deadline)
         .await
         .inspect_err(|_| undo_admission(context, workspace))?;
+    // A stop may have begun, or gone on, while the body arrived.
+    let remaining = deadline.saturating_duration_since(Instant::now());
+    check_stop(context, remaining.as_millis() as u64)
+        .inspect_err(|_| undo_admission(context, workspace))?;
     let workspace_name = workspace.map(|workspace| workspace.name.as_str());
     let head = ForwardHead::new(&head.method, &head.uri, &head.headers, key, workspace_name)
         .ok_or(EdgeRefusal::new(EdgeReason::NoRoute))?;
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -76,7 +76,12 @@
         if stop.open_connections() >= max_connections {
             continue;
         }
-        let task = serve_connection(stream, address, stop.clone(), Rc::clone(&handler));
+        let guard = stop.register_connection();
+        let served = serve_connection(stream, address, stop.clone(), Rc::clone(&handler));
+        let task = async move {
+            served.await;
+            drop(guard);
+        };
         compio::runtime::spawn(task).detach();
     }
 }
@@ -92,7 +97,6 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let _guard = stop.register_connection();
     // A connection whose socket options cannot be set is served all the same.
     let _ = stream.set_nodelay(true);
     let _ = close_when_unacknowledged(&stream);
