Excuse only work that the end of a stop or a cut link broke off

The check of missing responses excused more than the platform: any arrival in the last sixth of the grace period, also for a call that had ended before, and any arrival that overlapped a closed link, also one that was answered. Change: the call must have ended in the last sixth, and the instance must have lost the request. Conclusion: stricter, no case looser.

--- a/crates/soak/src/stop_check.rs
+++ b/crates/soak/src/stop_check.rs
@@ -113,12 +113,15 @@
     let asked_ms = stop.span_ms.start;
     let last_sixth = asked_ms + GRACE_MS * 5 / 6..asked_ms + GRACE_MS;
     let is_late_work = call.sent_ms <= asked_ms + LATE_WORK_SENT_MS
+        && call.ended_ms >= last_sixth.start
         && arrivals.iter().any(|arrival| {
             arrival.result != ArrivalResult::Rejected && overlaps(&arrival.span_ms, &last_sixth)
         });
     let is_cut = history.instance_cuts.iter().any(|(instance, cut)| {
         let mut at_instance = arrivals.iter().filter(|found| found.instance == *instance);
-        at_instance.any(|arrival| overlaps(&arrival.span_ms, cut))
+        at_instance.any(|arrival| {
+            arrival.result == ArrivalResult::Abandoned && overlaps(&arrival.span_ms, cut)
+        })
     });
     is_time_over || is_late_work || is_cut
 }
