--- a/crates/edge/src/config_reader.rs
+++ b/crates/edge/src/config_reader.rs
@@ -5,6 +5,10 @@
 //! waited. The other hosts get this evidence from their hub, and newer versions
 //! from the host that reports them. If the evidence gets old, some of them read
 //! the store and tell the hub.
+//!
+//! A version in force stays in force when the store comes back from a copy with
+//! an older one. Such reads are no evidence, so keyed requests are refused once
+//! the evidence from before gets old, until the operator has written again.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,8 +26,11 @@
 use crocushoist_platform::StoreTopic;
 use crocushoist_platform::decode_config;
 use crocushoist_policy::DeploymentConfig;
+use crocushoist_policy::EraReading;
 use crocushoist_policy::LimitIndex;
 use crocushoist_policy::ReadSharing;
+use crocushoist_policy::StoreEra;
+use crocushoist_policy::StoreOffset;
 use crocushoist_policy::StoreReadPacer;
 use crocushoist_state::ClockTime;
 
@@ -47,6 +54,9 @@
 /// Milliseconds between checks whether this host must read the store.
 const CHECK_INTERVAL_MS: u64 = 100;
 
+/// Milliseconds that a hub's read waits while operators may write lost versions again.
+const UNSETTLED_POLL_MS: u64 = 200;
+
 /// Milliseconds beyond the long poll after which a read counts as failed.
 const RESPONSE_MARGIN_MS: u64 = 600;
 
@@ -55,34 +65,47 @@
 const MIN_BACKOFF_MS: u64 = 150;
 const MAX_BACKOFF_MS: u64 = 1_200;
 
+/// Position of this host in the topic of the configuration.
+#[derive(Clone, Copy, Debug, Default)]
+struct ConfigPosition {
+    /// Offset to read from, `None` if the newest records must be read.
+    next_offset: Option<StoreOffset>,
+    /// What was read in the present era.
+    reading: EraReading,
+    /// Era of `reading`.
+    era: StoreEra,
+}
+
 /// Follows the operators' configuration until the process ends.
 pub(crate) async fn follow_config(context: SharedContext) {
     let mut client = context.store_client(LONG_POLL_MS + RESPONSE_MARGIN_MS);
-    let mut next_offset: Option<u64> = None;
+    let mut position = ConfigPosition::default();
     let mut backoff_ms = MIN_BACKOFF_MS;
     let mut is_reachable = true;
     let mut pacer = StoreReadPacer::new(READERS_PER_CHECK);
     loop {
-        let wait_ms = if context.is_hub.get() {
-            LONG_POLL_MS
-        } else {
-            0
+        let is_settled = context.era_watch.get().is_settled(ClockTime::now());
+        let wait_ms = match (context.is_hub.get(), is_settled) {
+            (true, true) => LONG_POLL_MS,
+            (true, false) => UNSETTLED_POLL_MS,
+            (false, _) => 0,
         };
         if wait_ms == 0 && !should_read(&context, &pacer) {
             sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
             continue;
         }
         let requested_at = ClockTime::now();
-        let outcome = match next_offset {
-            Some(offset) => read_next(&context, &mut client, offset, wait_ms).await,
-            None => read_newest(&context, &mut client).await.map(Some),
+        let era = context.newest_era.get();
+        position.next_offset = position.next_offset.filter(|offset| offset.era == era);
+        let outcome = match position.next_offset {
+            Some(offset) => read_next(&context, &mut client, &mut position, offset, wait_ms).await,
+            None => read_newest(&context, &mut client, &mut position).await,
         };
         pacer.record_read(outcome.is_ok(), requested_at);
         match outcome {
-            Ok(offset) => {
+            Ok(()) => {
                 context.metrics.count_store_call("ok");
                 backoff_ms = MIN_BACKOFF_MS;
-                next_offset = offset;
                 if !is_reachable {
                     info!(context.logger, "store regained"; "reader" => "config");
                 }
@@ -125,76 +148,101 @@
     (is_stale || (misses_version && is_overdue)) && pacer.is_due(sharing, rand::random(), now)
 }
 
-/// Reads the newest records and returns the next offset.
+/// Reads the newest records.
 async fn read_newest(
     context: &EdgeContext,
     client: &mut StoreClient,
-) -> Result<u64, PlatformError> {
+    position: &mut ConfigPosition,
+) -> Result<(), PlatformError> {
     let requested_at = ClockTime::now();
     let newest = client.read_newest_records(StoreTopic::Operators).await?;
-    if apply_records(context, &newest.records) {
-        context
-            .evidence
-            .borrow_mut()
-            .record_store_evidence(requested_at);
+    context.check_era(ClockTime::now());
+    let era = newest.end_offset.era;
+    if position.era != era {
+        position.reading = EraReading::default();
+        position.era = era;
     }
-    Ok(newest.end_offset)
+    position.next_offset = Some(newest.end_offset);
+    if apply_records(context, position, &newest.records) {
+        record_read(context, position, requested_at);
+    }
+    Ok(())
+}
+
+/// Records that every configuration that the store held at `at` was read.
+fn record_read(context: &EdgeContext, position: &mut ConfigPosition, at: ClockTime) {
+    position.reading.is_settled = context.era_watch.get().is_settled(at);
+    let version = context.config_version();
+    let mut evidence = context.evidence.borrow_mut();
+    evidence.record_store_read(position.reading, version, at);
 }
 
-/// Reads from `offset` on, waiting up to `wait_ms` milliseconds for a record. Returns the next
-/// offset, or `None` if the store no longer holds `offset`.
+/// Reads from `offset` on, waiting up to `wait_ms` milliseconds for a record. The newest records
+/// are read next if the store no longer holds `offset`.
 async fn read_next(
     context: &EdgeContext,
     client: &mut StoreClient,
-    offset: u64,
+    position: &mut ConfigPosition,
+    offset: StoreOffset,
     wait_ms: u64,
-) -> Result<Option<u64>, PlatformError> {
+) -> Result<(), PlatformError> {
     let requested_at = ClockTime::now();
-    let outcome = client.read(StoreTopic::Operators, offset, wait_ms).await?;
+    position.next_offset = None;
+    let outcome = client.read(StoreTopic::Operators, offset, wait_ms).await;
+    context.check_era(ClockTime::now());
+    // A failed read is repeated from the same offset.
+    let Ok(outcome) = outcome else {
+        position.next_offset = Some(offset);
+        return outcome.map(|_| ());
+    };
     let ReadOutcome::Records {
         records,
         end_offset,
     } = outcome
     else {
-        return Ok(None);
+        return Ok(());
     };
-    if records.is_empty() {
+    let Some(last) = records.last() else {
         let waited = ClockTime::now().since(requested_at).min(wait_ms);
-        context
-            .evidence
-            .borrow_mut()
-            .record_store_evidence(requested_at.plus(waited));
-        return Ok(Some(end_offset.max(offset)));
-    }
-    let next_offset = offset.max(records.last().map_or(offset, |record| record.offset + 1));
-    if !apply_records(context, &records) {
-        return Ok(None);
+        record_read(context, position, requested_at.plus(waited));
+        position.next_offset = Some(offset.latest(end_offset));
+        return Ok(());
+    };
+    let next_offset = offset.latest(last.offset.next());
+    position.reading.is_rewritten |= has_config(&records);
+    if !apply_records(context, position, &records) {
+        return Ok(());
     }
     if wait_ms == 0 {
-        context
-            .evidence
-            .borrow_mut()
-            .record_store_evidence(requested_at);
-        return Ok(Some(next_offset));
+        record_read(context, position, requested_at);
+        position.next_offset = Some(next_offset);
+        return Ok(());
     }
     // The record may have been written at any moment of the wait, so the long poll does not tell
     // up to when the configuration is known; a second read without a wait does.
     let requested_at = ClockTime::now();
+    position.next_offset = Some(next_offset);
     let outcome = client.read(StoreTopic::Operators, next_offset, 0).await?;
     let ReadOutcome::Records { records, .. } = outcome else {
-        return Ok(None);
+        position.next_offset = None;
+        return Ok(());
     };
-    if apply_records(context, &records) {
-        context
-            .evidence
-            .borrow_mut()
-            .record_store_evidence(requested_at);
+    if apply_records(context, position, &records) {
+        record_read(context, position, requested_at);
     }
-    Ok(Some(
+    position.next_offset = Some(
         records
             .last()
-            .map_or(next_offset, |record| record.offset + 1),
-    ))
+            .map_or(next_offset, |record| record.offset.next()),
+    );
+    Ok(())
+}
+
+/// Whether `records` have a configuration.
+fn has_config(records: &[StoreRecord]) -> bool {
+    records
+        .iter()
+        .any(|record| record.key == CONFIG_KEY && record.value.is_some())
 }
 
 /// Puts `config` into force if it is newer than the present one; `source` says where it is from.
@@ -212,9 +260,13 @@
     *context.config.borrow_mut() = Some(Rc::new(config));
 }
 
-/// Applies the newest configuration among `records`. Returns whether the newest one is in force
-/// here.
-fn apply_records(context: &EdgeContext, records: &[StoreRecord]) -> bool {
+/// Applies the newest configuration among `records`. Returns whether it could be read, so that
+/// it or a newer one is in force here.
+fn apply_records(
+    context: &EdgeContext,
+    position: &mut ConfigPosition,
+    records: &[StoreRecord],
+) -> bool {
     let newest = records
         .iter()
         .rev()
@@ -227,12 +279,18 @@
     };
     match decode_config(value) {
         Ok(config) => {
+            let version = config.version;
+            if version < context.config_version() && version != position.reading.version {
+                warn!(context.logger, "store holds an older configuration"; "version" => version,
+                    "version_in_force" => context.config_version(), "era" => position.era.0);
+            }
+            position.reading.version = position.reading.version.max(version);
             apply_config(context, config, "store");
             true
         }
         Err(error) => {
             error!(context.logger, "configuration unreadable"; "cause" => %error,
-                "offset" => record.offset, "version_in_force" => context.config_version());
+                "offset" => %record.offset, "version_in_force" => context.config_version());
             // The last valid version stays in force, but the host has no evidence that it is the
             // newest.
             false
--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -8,10 +8,14 @@
 
 use compact_str::CompactString;
 use slog::Logger;
+use slog::info;
+use slog::warn;
 
+use crocushoist_platform::NewestEra;
 use crocushoist_platform::StoreClient;
 use crocushoist_policy::ConfigEvidence;
 use crocushoist_policy::DeploymentConfig;
+use crocushoist_policy::EraWatch;
 use crocushoist_policy::EstimateFeed;
 use crocushoist_policy::FleetLimit;
 use crocushoist_policy::HostRegistration;
@@ -21,6 +25,7 @@
 use crocushoist_policy::LimitIndex;
 use crocushoist_policy::ReadSharing;
 use crocushoist_policy::RetryBudget;
+use crocushoist_policy::StoreEra;
 use crocushoist_policy::WindowLimit;
 use crocushoist_policy::WorkspaceGate;
 use crocushoist_policy::WorkspaceSpec;
@@ -95,6 +100,14 @@
     pub(crate) settings: EdgeSettings,
     /// Registration of this host.
     pub(crate) own_host: HostRegistration,
+    /// Newest era of the store that an answer or another host told.
+    pub(crate) newest_era: NewestEra,
+    /// Changes of the store's era.
+    pub(crate) era_watch: Cell<EraWatch>,
+    /// Newest era in which the store holds the registration of this host.
+    pub(crate) registered_era: Cell<StoreEra>,
+    /// Whether the store lost the registration of this host.
+    pub(crate) registration_lost: Cell<bool>,
     /// Configuration in force.
     pub(crate) config: RefCell<Option<Rc<DeploymentConfig>>>,
     /// Limits of the configuration in force.
@@ -178,9 +191,14 @@
             data_centre: settings.data_centre.clone(),
             capacity: settings.capacity(),
             incarnation: rand::random(),
+            era: StoreEra::default(),
         };
         EdgeContext {
             own_host,
+            newest_era: NewestEra::default(),
+            era_watch: Cell::default(),
+            registered_era: Cell::default(),
+            registration_lost: Cell::new(false),
             config: RefCell::default(),
             limit_index: RefCell::default(),
             evidence: RefCell::default(),
@@ -225,9 +243,36 @@
             Some(self.own_host.peer_address.ip()),
             self.settings.store_address,
             millis,
+            Rc::clone(&self.newest_era),
         )
     }
 
+    /// Notices the newest era that the store told.
+    pub(crate) fn check_era(&self, now: ClockTime) {
+        let mut watch = self.era_watch.get();
+        let Some(before) = watch.notice(self.newest_era.get(), now) else {
+            return;
+        };
+        self.era_watch.set(watch);
+        let era = watch.era();
+        self.metrics.store_era.set(era.0 as i64);
+        if before.is_known() {
+            self.metrics.era_changes.inc();
+            warn!(self.logger, "store came back from a copy"; "era" => era.0,
+                "before" => before.0, "config_version" => self.config_version());
+        } else {
+            info!(self.logger, "store told its era"; "era" => era.0);
+        }
+    }
+
+    /// Notices an era of the store that another host told.
+    pub(crate) fn learn_era(&self, era: StoreEra, now: ClockTime) {
+        if era > self.newest_era.get() {
+            self.newest_era.set(era);
+            self.check_era(now);
+        }
+    }
+
     /// Configuration in force.
     pub(crate) fn config(&self) -> Option<Rc<DeploymentConfig>> {
         self.config.borrow().clone()
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -38,6 +38,12 @@
     pub(crate) config_version: Gauge,
     /// Milliseconds since this host's own newest evidence from the store.
     pub(crate) evidence_age_ms: Gauge,
+    /// Era of the store.
+    pub(crate) store_era: Gauge,
+    /// Changes of the store's era since the start.
+    pub(crate) era_changes: Counter,
+    /// Milliseconds from the last change until this host knew everything again.
+    pub(crate) era_catch_up_ms: Gauge,
     /// Number of instances that accept requests.
     pub(crate) usable_instances: Gauge,
 }
@@ -55,6 +61,9 @@
         });
         let config_version = Gauge::default();
         let evidence_age_ms = Gauge::default();
+        let store_era = Gauge::default();
+        let era_changes = Counter::default();
+        let era_catch_up_ms = Gauge::default();
         let usable_instances = Gauge::default();
         registry.register("answers", "Answers by outcome", responses.clone());
         registry.register("refusals", "Refusals by reason", refusals.clone());
@@ -76,6 +85,17 @@
             "Age of the host's own evidence of the store",
             evidence_age_ms.clone(),
         );
+        registry.register("store_era", "Era of the store", store_era.clone());
+        registry.register(
+            "store_era_changes",
+            "Changes of the store's era",
+            era_changes.clone(),
+        );
+        registry.register(
+            "store_era_catch_up_milliseconds",
+            "Time to full knowledge after the last change of the store's era",
+            era_catch_up_ms.clone(),
+        );
         registry.register(
             "usable_instances",
             "Instances that take requests",
@@ -91,6 +111,9 @@
             latency,
             config_version,
             evidence_age_ms,
+            store_era,
+            era_changes,
+            era_catch_up_ms,
             usable_instances,
         }
     }
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -16,6 +16,7 @@
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::ReporterId;
 use crocushoist_policy::ServiceCounts;
+use crocushoist_policy::StoreOffset;
 use crocushoist_policy::WorkspaceCounts;
 use crocushoist_policy::name_hash;
 use crocushoist_state::ClockTime;
@@ -83,7 +84,7 @@
         callers: context
             .accepts_callers(now)
             .then_some(context.own_host.caller_address),
-        listing_offset: table.next_offset(),
+        listing_offset: table.reported_offset().into(),
         listing_age: context.listing_age(now),
         config_version: context.config_version(),
         evidence_age: context.evidence.borrow().age(now),
@@ -153,15 +154,25 @@
     if has_same_version && is_fresher(report.evidence_age, own_evidence_age) {
         context.config_source.set(Some(peer_address));
     }
-    if is_fresher(report.listing_age, context.listing_age(now)) {
+    let offset = StoreOffset::from(report.listing_offset);
+    context.learn_era(offset.era, now);
+    let table = context.instances.borrow();
+    let is_later_era = offset.era > table.next_offset().era;
+    // A reporter at the start of an era has not heard of departures either.
+    let knows_departures = table.lacks_departures() && offset.number() > 0;
+    let has_list = report.listing_age.is_some();
+    if is_fresher(report.listing_age, context.listing_age(now))
+        || (has_list && (is_later_era || knows_departures))
+    {
         context.listing_source.set(Some(peer_address));
     }
 }
 
-/// Answer to `report`. Trial requests are assigned only by a hub, and only to a host that accepts
+/// Answer to `report` of the host at `reporter`. Trial requests are assigned only by a hub, and only to a host that accepts
 /// callers.
 pub(crate) fn new_answer(
     context: &EdgeContext,
+    reporter: SocketAddr,
     report: &HostReport,
     cursor: &mut FeedCursor,
     now: ClockTime,
@@ -175,9 +186,11 @@
         Vec::new()
     };
     let table = context.instances.borrow();
-    let mut changed = table.changed_since(report.listing_offset);
-    let needs_full_list =
-        changed.len() > MAX_RELAYED_ENTRIES || !table.knows_changes_since(report.listing_offset);
+    let reported_offset = StoreOffset::from(report.listing_offset);
+    let is_behind = reported_offset.era > table.next_offset().era;
+    let mut changed = table.changed_since(reported_offset);
+    let needs_full_list = !is_behind
+        && (changed.len() > MAX_RELAYED_ENTRIES || !table.knows_changes_since(reported_offset));
     if needs_full_list {
         changed.clear();
     }
@@ -186,12 +199,12 @@
         .take(MAX_ENTRIES_PER_ANSWER)
         .map(|state| WireListing::new(state, now))
         .collect();
-    let is_complete = !needs_full_list && changed.len() <= rows.len();
+    let is_complete = !is_behind && !needs_full_list && changed.len() <= rows.len();
     // The rows are in the order of their offsets: the last one sent is the newest.
     let listing_offset = match rows.last() {
-        _ if needs_full_list => report.listing_offset,
+        _ if is_behind || needs_full_list => report.listing_offset,
         Some(last) if !is_complete => last.changed_at,
-        _ => table.next_offset(),
+        _ => table.next_offset().into(),
     };
     let aggregator = context.aggregator.borrow();
     let fleet_load = aggregator.fleet_load();
@@ -227,6 +240,10 @@
         listing_age: context.listing_age(now).filter(|_| is_complete),
         reads_listing: context.reads_listing(now),
         needs_full_list: needs_full_list && context.listing_synced_at.get().is_some(),
+        must_register: context
+            .roster
+            .borrow()
+            .is_lost(reporter, context.era_watch.get().era()),
         shares: shares.map(|shares| {
             let in_thousandths = |(workspace, share)| (workspace, (share * THOUSANDTHS) as u16);
             shares.into_iter().map(in_thousandths).collect()
@@ -274,17 +291,21 @@
     if answer.needs_full_list {
         context.listing_source.set(Some(hub));
     }
+    let listing_offset = StoreOffset::from(answer.listing_offset);
+    context.learn_era(listing_offset.era, now);
+    context.registration_lost.set(answer.must_register);
     let mut table = context.instances.borrow_mut();
     for entry in std::mem::take(&mut answer.rows) {
-        let offset = entry.changed_at;
+        let offset = StoreOffset::from(entry.changed_at);
         let presence = entry.presence(now);
         let listing: crocushoist_policy::InstanceListing = entry.into();
         let id = listing.id.clone();
         let change = table.apply_relayed(offset, listing, presence, now);
         log_change(context, &id, change, offset);
     }
-    table.advance(answer.listing_offset);
+    table.advance(listing_offset);
     if let Some(age) = answer.listing_age {
+        table.record_merged(listing_offset.era);
         let synced_at = report_sent_at.minus(age);
         // A hub that lost the store still answers, while this host's own list may be newer.
         let own_age = context.listing_age(now);
--- a/crates/edge/src/listing_reader.rs
+++ b/crates/edge/src/listing_reader.rs
@@ -3,6 +3,9 @@
 //! The hub of a data centre reads the list and sends the changes to its hosts.
 //! If its list gets old, some of its hosts read the list and the hub fetches it
 //! from them. A host that gets no answer from a hub reads the list itself.
+//!
+//! A list of another era is read in full. Instances that it lacks get the time
+//! to write their entries again.
 
 use std::time::Duration;
 
@@ -18,6 +21,7 @@
 use crocushoist_platform::decode_instance;
 use crocushoist_policy::ListingChange;
 use crocushoist_policy::ReadSharing;
+use crocushoist_policy::StoreOffset;
 use crocushoist_policy::StoreReadPacer;
 use crocushoist_state::ClockTime;
 
@@ -41,7 +45,7 @@
 /// the outage.
 ///
 /// The platform allows two seconds; this host notices the return a little late.
-const RELISTING_WINDOW_MS: u64 = 1_800;
+pub(crate) const RELISTING_WINDOW_MS: u64 = 1_800;
 
 /// Milliseconds after which a read fails; a slow store takes 400 ms.
 const READ_TIMEOUT_MS: u64 = 600;
@@ -71,6 +75,8 @@
             lapse_until
         };
         let requested_at = ClockTime::now();
+        let era_before = context.instances.borrow().next_offset().era;
+        has_full_list &= era_before == context.newest_era.get();
         let read = if has_full_list {
             read_next(&context, &mut client, lapse_until_now).await
         } else {
@@ -78,6 +84,7 @@
             full.map(|()| true)
         };
         pacer.record_read(read.is_ok(), requested_at);
+        context.check_era(ClockTime::now());
         match read {
             Ok(is_complete) => {
                 context.metrics.count_store_call("ok");
@@ -87,6 +94,10 @@
                     context.listing_read_at.set(Some(requested_at));
                 }
                 lapse_until = lapse_until_now;
+                let era = context.instances.borrow().next_offset().era;
+                if era_before.is_known() && era != era_before {
+                    lapse_until = Some(ClockTime::now().plus(RELISTING_WINDOW_MS));
+                }
                 if failures > 0 {
                     info!(context.logger, "store regained"; "reader" => "instances",
                         "failures" => failures);
@@ -132,6 +143,13 @@
 ) -> Result<(), PlatformError> {
     let newest = client.read_newest_records(StoreTopic::Instances).await?;
     let now = ClockTime::now();
+    let known_era = context.instances.borrow().next_offset().era;
+    let is_other_era = known_era.is_known() && newest.end_offset.era != known_era;
+    let lapse_until = if is_other_era {
+        Some(now.plus(RELISTING_WINDOW_MS))
+    } else {
+        lapse_until
+    };
     for record in &newest.records {
         apply_record(context, record, lapse_until, now);
     }
@@ -148,7 +166,7 @@
     );
     for id in absent {
         info!(context.logger, "instance left"; "instance" => id.as_str(),
-            "cause" => "not in the full list", "offset" => newest.end_offset);
+            "cause" => "not in the full list", "offset" => %newest.end_offset);
     }
     Ok(())
 }
@@ -166,7 +184,7 @@
             let now = ClockTime::now();
             for record in &records {
                 apply_record(context, record, lapse_until, now);
-                context.instances.borrow_mut().advance(record.offset + 1);
+                context.instances.borrow_mut().advance(record.offset.next());
             }
             Ok(true)
         }
@@ -195,7 +213,7 @@
             }
             Err(error) => {
                 warn!(context.logger, "skipped an unreadable instance entry"; "instance" => id,
-                    "cause" => %error, "offset" => record.offset);
+                    "cause" => %error, "offset" => %record.offset);
                 return;
             }
         },
@@ -204,7 +222,12 @@
 }
 
 /// Logs a change of an instance's entry.
-pub(crate) fn log_change(context: &EdgeContext, id: &str, change: ListingChange, offset: u64) {
+pub(crate) fn log_change(
+    context: &EdgeContext,
+    id: &str,
+    change: ListingChange,
+    offset: StoreOffset,
+) {
     let message = match change {
         ListingChange::Joined => "instance joined",
         ListingChange::Leaving => "instance is leaving",
@@ -212,5 +235,5 @@
         ListingChange::Gone => "instance left",
         ListingChange::Updated | ListingChange::Unchanged => return,
     };
-    info!(context.logger, "{}", message; "instance" => id, "offset" => offset);
+    info!(context.logger, "{}", message; "instance" => id, "offset" => %offset);
 }
--- a/crates/edge/src/listing_snapshot.rs
+++ b/crates/edge/src/listing_snapshot.rs
@@ -2,7 +2,8 @@
 //!
 //! Datagrams relay changes. A host whose list is too old for that fetches the
 //! whole one from its hub, and a hub that cannot read the store fetches it from
-//! a host that can.
+//! a host that can. The list also has the instances that left last, because a
+//! store that came back from a copy may still list them.
 
 use std::collections::HashSet;
 
@@ -14,20 +15,26 @@
 use crocushoist_policy::InstanceListing;
 use crocushoist_policy::ListingChange;
 use crocushoist_policy::Presence;
+use crocushoist_policy::StoreOffset;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::EdgeContext;
+use crate::listing_reader::RELISTING_WINDOW_MS;
 use crate::listing_reader::log_change;
 use crate::peer_message::WireListing;
+use crate::peer_message::WireOffset;
+
+/// Maximum number of instances in a list that have left.
+const MAX_DEPARTED_ENTRIES: usize = 64;
 
 /// Whole instance list of a host.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct ListingSnapshot {
     /// Offset up to which the list has every change.
-    end_offset: u64,
+    end_offset: WireOffset,
     /// Milliseconds since the host knew every change of the list.
     age: Option<u64>,
-    /// Instances that are listed or lapsing.
+    /// Instances that are listed or lapsing, and those that left last.
     entries: Vec<WireListing>,
 }
 
@@ -40,23 +47,35 @@
             .iter()
             .map(|(_, state)| state)
             .filter(|state| state.presence != Presence::Gone);
+        let departed = if table.next_offset().era.is_known() {
+            table.departed()
+        } else {
+            Vec::new()
+        };
+        let entries = present.chain(departed.into_iter().take(MAX_DEPARTED_ENTRIES));
         Some(ListingSnapshot {
-            end_offset: table.next_offset(),
+            end_offset: table.next_offset().into(),
             age,
-            entries: present.map(|state| WireListing::new(state, now)).collect(),
+            entries: entries.map(|state| WireListing::new(state, now)).collect(),
         })
     }
 
-    /// Applies the list, which was requested at `requested_at`, unless this host knows later
-    /// entries.
+    /// Applies the list, which was requested at `requested_at`, or only the departures in it if
+    /// this host's own list is newer.
     pub(crate) fn apply(self, context: &EdgeContext, requested_at: ClockTime, now: ClockTime) {
-        if self.end_offset < context.instances.borrow().next_offset() {
-            return;
+        let end_offset = StoreOffset::from(self.end_offset);
+        context.learn_era(end_offset.era, now);
+        let own_offset = context.instances.borrow().next_offset();
+        if own_offset.supersedes(end_offset) {
+            return self.apply_departures(context, now);
         }
+        // The peer may not know of instances that the store lost and that will write again.
+        let is_later_era = own_offset.era.is_known() && end_offset.era > own_offset.era;
+        let lapse_until = is_later_era.then(|| now.plus(RELISTING_WINDOW_MS));
         let mut joined = 0;
         let mut ids: HashSet<CompactString> = HashSet::with_capacity(self.entries.len());
         for entry in self.entries {
-            let offset = entry.changed_at;
+            let offset = StoreOffset::from(entry.changed_at);
             let presence = entry.presence(now);
             let listing: InstanceListing = entry.into();
             let id = listing.id.clone();
@@ -70,20 +89,33 @@
             }
             ids.insert(id);
         }
-        let absent = context.instances.borrow_mut().finish_full_list(
-            self.end_offset,
-            |id| ids.contains(id),
-            None,
-            now,
-        );
+        let absent = {
+            let mut table = context.instances.borrow_mut();
+            table.record_merged(end_offset.era);
+            table.finish_full_list(end_offset, |id| ids.contains(id), lapse_until, now)
+        };
         info!(context.logger, "instance list fetched"; "instances" => ids.len(),
-            "joined" => joined, "age_ms" => self.age, "offset" => self.end_offset);
+            "joined" => joined, "age_ms" => self.age, "offset" => %end_offset);
         for id in absent {
             info!(context.logger, "instance left"; "instance" => id.as_str(),
-                "cause" => "not in a peer's full list", "offset" => self.end_offset);
+                "cause" => "not in a peer's full list", "offset" => %end_offset);
         }
         if let Some(age) = self.age {
             context.record_listing_sync(requested_at.minus(age));
         }
     }
+
+    /// Applies the departures in a list that is older than that of this host.
+    fn apply_departures(self, context: &EdgeContext, now: ClockTime) {
+        let mut table = context.instances.borrow_mut();
+        let offset = table.next_offset();
+        for entry in self.entries {
+            let presence = entry.presence(now);
+            let listing: InstanceListing = entry.into();
+            let id = listing.id.clone();
+            let change = table.apply_departure(listing, presence, now);
+            log_change(context, &id, change, offset);
+        }
+        table.record_merged(offset.era);
+    }
 }
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -25,6 +25,8 @@
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::Presence;
 use crocushoist_policy::ServiceCounts;
+use crocushoist_policy::StoreEra;
+use crocushoist_policy::StoreOffset;
 use crocushoist_policy::TrialOffer;
 use crocushoist_policy::WorkspaceCounts;
 use crocushoist_state::ClockTime;
@@ -54,7 +56,7 @@
     /// Address for callers, `None` if the host accepts no callers.
     pub(crate) callers: Option<SocketAddr>,
     /// Offset up to which the host knows the instance list.
-    pub(crate) listing_offset: u64,
+    pub(crate) listing_offset: WireOffset,
     /// Milliseconds since the host knew every change of the instance list.
     pub(crate) listing_age: Option<u64>,
     /// Version of the host's configuration.
@@ -95,7 +97,7 @@
     /// Instances whose entries changed, by the offset of the change.
     pub(crate) rows: Vec<WireListing>,
     /// Offset up to which `rows` has every change.
-    pub(crate) listing_offset: u64,
+    pub(crate) listing_offset: WireOffset,
     /// Milliseconds since the hub knew every change of the instance list, `None` if `rows` leaves
     /// some out.
     pub(crate) listing_age: Option<u64>,
@@ -104,6 +106,8 @@
     /// Whether the reporter must fetch the whole list, because the hub does not know or relay all
     /// changes since the reporter's offset.
     pub(crate) needs_full_list: bool,
+    /// Whether the store lost the registration of the reporter.
+    pub(crate) must_register: bool,
     /// Shares below 1000 thousandths by the hash of the workspace's name, `None` while the hub is
     /// warming up.
     pub(crate) shares: Option<Vec<(u32, u16)>>,
@@ -143,27 +147,45 @@
     pub(crate) in_flight: Vec<(u32, u32)>,
 }
 
+/// Era of the store and number of the position within it.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct WireOffset(u64, u64);
+
+impl From<StoreOffset> for WireOffset {
+    fn from(offset: StoreOffset) -> Self {
+        WireOffset(offset.era.0, offset.number())
+    }
+}
+
+impl From<WireOffset> for StoreOffset {
+    fn from(wire: WireOffset) -> Self {
+        StoreOffset::new(StoreEra(wire.0), wire.1)
+    }
+}
+
 /// Registration of a host and its offset in the store.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireHub {
-    offset: u64,
+    offset: WireOffset,
     callers: SocketAddr,
     peers: SocketAddr,
     data_centre: CompactString,
     capacity: u32,
     incarnation: u64,
+    era: u64,
 }
 
 impl WireHub {
     /// The host registered as `registration` at `offset`.
-    pub(crate) fn new(offset: u64, registration: &HostRegistration) -> Self {
+    pub(crate) fn new(offset: StoreOffset, registration: &HostRegistration) -> Self {
         WireHub {
-            offset,
+            offset: offset.into(),
             callers: registration.caller_address,
             peers: registration.peer_address,
             data_centre: registration.data_centre.clone(),
             capacity: registration.capacity,
             incarnation: registration.incarnation,
+            era: registration.era.0,
         }
     }
 
@@ -175,8 +197,9 @@
             data_centre: self.data_centre,
             capacity: self.capacity,
             incarnation: self.incarnation,
+            era: StoreEra(self.era),
         };
-        roster.apply_registration(self.offset, registration);
+        roster.apply_registration(self.offset.into(), registration);
     }
 }
 
@@ -300,7 +323,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireListing {
     /// Offset of the entry's last change.
-    pub(crate) changed_at: u64,
+    pub(crate) changed_at: WireOffset,
     id: CompactString,
     born: u64,
     seq: u64,
@@ -327,7 +350,7 @@
     pub(crate) fn new(state: &InstanceState, now: ClockTime) -> Self {
         let listing = &state.listing;
         WireListing {
-            changed_at: state.changed_offset,
+            changed_at: state.changed_offset.into(),
             id: listing.id.clone(),
             born: listing.started_at_unix_ms,
             seq: listing.seq,
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -246,7 +246,7 @@
         self.publish_totals(round, now).await;
         update_advertised_hosts(&self.context, now);
         let mut cursor = FeedCursor::default();
-        let answer = new_answer(&self.context, &report, &mut cursor, now);
+        let answer = new_answer(&self.context, own_address, &report, &mut cursor, now);
         if let Some(shares) = &answer.shares {
             log_limit_changes(&self.context, shares);
         }
@@ -360,7 +360,7 @@
                         entry.incarnation = report.incarnation;
                         entry.cursor = FeedCursor::default();
                     }
-                    new_answer(&self.context, &report, &mut entry.cursor, now)
+                    new_answer(&self.context, peer, &report, &mut entry.cursor, now)
                 };
                 self.send_to(peer, &PeerMessage::Answer(answer)).await;
             }
--- a/crates/edge/src/roster_sync.rs
+++ b/crates/edge/src/roster_sync.rs
@@ -5,6 +5,12 @@
 //! reads them regularly, so that it leaves the role to a host that comes before
 //! it and registers later, and tells its hosts. The near-full window records are
 //! in the same topic and are read with the registrations.
+//!
+//! When the store came back from a copy, hubs read all registrations again, and
+//! tell the hosts whose registrations the copy lacks. These write them again,
+//! spread over some time. Hubs also write their near-full window records again:
+//! at once if they list a workspace, and when the era is settled, which tells
+//! hosts that restart later that reading the store is evidence.
 
 use std::time::Duration;
 use std::time::SystemTime;
@@ -21,8 +27,11 @@
 use crocushoist_platform::StoreRecord;
 use crocushoist_platform::StoreTopic;
 use crocushoist_platform::WireHostRegistration;
+use crocushoist_policy::HostRegistration;
 use crocushoist_policy::MAX_RECORD_AGE_MS;
 use crocushoist_policy::NearFullWorkspaces;
+use crocushoist_policy::StoreEra;
+use crocushoist_policy::StoreOffset;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::EdgeContext;
@@ -43,6 +52,10 @@
 /// Minimum milliseconds between later reads, also after a failure.
 const MIN_READ_INTERVAL_MS: u64 = 2_000;
 
+/// Milliseconds over which hosts spread the registrations that the store lost; 300 hosts stay
+/// below half of the writes that the platform allows.
+const REGISTRATION_SPREAD_MS: u64 = 2_000;
+
 /// Milliseconds after its own registration that a host of a new fleet waits for the others'.
 const FIRST_START_SETTLE_MS: u64 = 500;
 
@@ -66,12 +79,20 @@
         next_offset
     };
     let mut since_read_ms = HUB_READ_INTERVAL_MS - STARTUP_SETTLE_MS;
+    let mut register_at: Option<ClockTime> = None;
+    let mut recorded = RecordedEra::default();
     loop {
+        let era = context.newest_era.get();
+        let is_other_era = next_offset.is_some_and(|offset| offset.era != era);
+        if is_other_era && context.is_hub.get() {
+            next_offset = None;
+        }
         let is_due = context.is_hub.get() && since_read_ms >= HUB_READ_INTERVAL_MS;
         let is_requested =
             context.roster_read_requested.get() && since_read_ms >= MIN_READ_INTERVAL_MS;
         if is_requested || next_offset.is_none() || is_due {
-            match read_registrations(&context, &mut client, next_offset).await {
+            let from = next_offset.filter(|offset| offset.era == era);
+            match read_registrations(&context, &mut client, from).await {
                 Ok(offset) => {
                     next_offset = offset;
                     context.roster_read_requested.set(offset.is_none());
@@ -83,16 +104,83 @@
                 }
             }
         }
+        register_if_lost(&context, &mut client, &mut register_at).await;
         if context.is_hub.get() {
-            write_window_record(&context, &mut client).await;
+            request_era_record(&context, &mut recorded);
+            write_window_record(&context, &mut client, &mut recorded).await;
         }
+        record_caught_up(&context, next_offset);
         sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         since_read_ms += CHECK_INTERVAL_MS;
     }
 }
 
+/// Era of which a hub wrote its near-full window record, and whether that was settled.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct RecordedEra {
+    era: StoreEra,
+    is_settled: bool,
+}
+
+/// Has the hub's record written again after a change of the era and when the era is settled.
+fn request_era_record(context: &EdgeContext, recorded: &mut RecordedEra) {
+    let watch = context.era_watch.get();
+    let present = RecordedEra {
+        era: watch.era(),
+        is_settled: watch.is_settled(ClockTime::now()),
+    };
+    if present == *recorded || !present.era.is_known() {
+        return;
+    }
+    *recorded = present;
+    let mut aggregator = context.aggregator.borrow_mut();
+    if present.is_settled || !aggregator.near_full_records.is_local_empty() {
+        aggregator.near_full_records.request_write();
+    }
+}
+
+/// Writes the registration of this host again if the store lost it, after a random time.
+async fn register_if_lost(
+    context: &EdgeContext,
+    client: &mut StoreClient,
+    register_at: &mut Option<ClockTime>,
+) {
+    let now = ClockTime::now();
+    if !context.registration_lost.get() || context.registered_era.get() == context.newest_era.get()
+    {
+        *register_at = None;
+        return;
+    }
+    let due = *register_at
+        .get_or_insert_with(|| now.plus(rand::random_range(0..=REGISTRATION_SPREAD_MS)));
+    if now >= due {
+        register(context, client).await;
+        *register_at = None;
+    }
+}
+
+/// Records that this host knows again what the store holds, if it does.
+fn record_caught_up(context: &EdgeContext, next_offset: Option<StoreOffset>) {
+    let now = ClockTime::now();
+    context.check_era(now);
+    let mut watch = context.era_watch.get();
+    let evidence_age = context.evidence.borrow().age(now);
+    let has_list = context.instances.borrow().next_offset().era == watch.era();
+    let has_evidence = evidence_age.is_some_and(|age| age <= watch.since_change(now));
+    let has_roster = next_offset.is_some_and(|offset| offset.era == watch.era());
+    if !has_list || !has_evidence || (context.is_hub.get() && !has_roster) {
+        return;
+    }
+    if let Some(millis) = watch.record_caught_up(now) {
+        context.metrics.era_catch_up_ms.set(millis as i64);
+        info!(context.logger, "store's content known again"; "era" => watch.era().0,
+            "after_ms" => millis);
+    }
+    context.era_watch.set(watch);
+}
+
 /// Reads the registrations and retries until that succeeds. Returns the next offset.
-async fn read_with_retries(context: &EdgeContext, client: &mut StoreClient) -> Option<u64> {
+async fn read_with_retries(context: &EdgeContext, client: &mut StoreClient) -> Option<StoreOffset> {
     let mut retry_ms = MIN_STARTUP_RETRY_MS;
     loop {
         match read_registrations(context, client, None).await {
@@ -123,7 +211,11 @@
 /// Writes the registration of this host and retries until that succeeds.
 async fn register(context: &EdgeContext, client: &mut StoreClient) {
     let key = context.own_host.caller_address.to_string();
-    let value = match WireHostRegistration::encode(&context.own_host) {
+    let registration = HostRegistration {
+        era: context.newest_era.get(),
+        ..context.own_host.clone()
+    };
+    let value = match WireHostRegistration::encode(&registration) {
         Ok(value) => value,
         Err(error) => {
             warn!(context.logger, "cannot encode the registration of this host"; "cause" => %error);
@@ -134,11 +226,12 @@
     loop {
         match client.write(StoreTopic::Hosts, &key, Some(&value)).await {
             Ok(offset) => {
-                info!(context.logger, "registered"; "offset" => offset);
+                info!(context.logger, "registered"; "offset" => %offset);
+                context.registered_era.set(offset.era);
                 context
                     .roster
                     .borrow_mut()
-                    .apply_registration(offset, context.own_host.clone());
+                    .apply_stored(offset, registration);
                 return;
             }
             Err(error) => {
@@ -155,16 +248,34 @@
 async fn read_registrations(
     context: &EdgeContext,
     client: &mut StoreClient,
-    from: Option<u64>,
-) -> Result<Option<u64>, PlatformError> {
+    from: Option<StoreOffset>,
+) -> Result<Option<StoreOffset>, PlatformError> {
     let outcome = read_records(client, from).await;
     let result = if outcome.is_ok() { "ok" } else { "failed" };
     context.metrics.count_store_call(result);
+    context.check_era(ClockTime::now());
     let Some((records, next_offset)) = outcome? else {
         return Ok(None);
     };
-    apply_records(context, &records);
+    let mut is_other_era = false;
     if from.is_none() {
+        let mut roster = context.roster.borrow_mut();
+        let era_before = roster.begin_full_read(next_offset.era);
+        is_other_era = era_before.is_known() && era_before != next_offset.era;
+    }
+    apply_records(context, &records);
+    let own_address = context.own_host.peer_address;
+    if context
+        .roster
+        .borrow()
+        .is_lost(own_address, next_offset.era)
+    {
+        context.registration_lost.set(true);
+    } else if next_offset.era == context.newest_era.get() {
+        context.registered_era.set(next_offset.era);
+    }
+    // The records say what was admitted before a start, not before a change of the era.
+    if from.is_none() && !is_other_era {
         let mut aggregator = context.aggregator.borrow_mut();
         aggregator.near_full_records.set_read_at(ClockTime::now());
     }
@@ -177,8 +288,8 @@
 /// store no longer holds `from`.
 async fn read_records(
     client: &mut StoreClient,
-    from: Option<u64>,
-) -> Result<Option<(Vec<StoreRecord>, u64)>, PlatformError> {
+    from: Option<StoreOffset>,
+) -> Result<Option<(Vec<StoreRecord>, StoreOffset)>, PlatformError> {
     let Some(from) = from else {
         let newest = client.read_newest_records(StoreTopic::Hosts).await?;
         return Ok(Some((newest.records, newest.end_offset)));
@@ -186,7 +297,7 @@
     match client.read(StoreTopic::Hosts, from, 0).await? {
         ReadOutcome::OffsetExpired => Ok(None),
         ReadOutcome::Records { records, .. } => {
-            let next_offset = records.last().map_or(from, |record| record.offset + 1);
+            let next_offset = records.last().map_or(from, |record| record.offset.next());
             Ok(Some((records, next_offset)))
         }
     }
@@ -194,7 +305,11 @@
 
 /// Writes which workspaces have nearly full windows, if that changed or the record must be
 /// renewed.
-async fn write_window_record(context: &EdgeContext, client: &mut StoreClient) {
+async fn write_window_record(
+    context: &EdgeContext,
+    client: &mut StoreClient,
+    recorded: &mut RecordedEra,
+) {
     let data_centre = &context.own_host.data_centre;
     let now = ClockTime::now();
     let near_full = {
@@ -210,6 +325,7 @@
     let record = NearFullRecord {
         near_full_workspaces: near_full,
         written_at_ms: unix_time_ms(context),
+        settled_era: settled_era(context, now),
     };
     let value = match record.encode() {
         Ok(value) => value,
@@ -223,7 +339,7 @@
         Ok(offset) => {
             context.metrics.count_store_call("ok");
             info!(context.logger, "near-full window record written";
-                "workspaces" => record.near_full_workspaces.len(), "offset" => offset);
+                "workspaces" => record.near_full_workspaces.len(), "offset" => %offset);
             let mut aggregator = context.aggregator.borrow_mut();
             aggregator
                 .near_full_records
@@ -232,10 +348,21 @@
         Err(error) => {
             context.metrics.count_store_call("failed");
             warn!(context.logger, "cannot write the near-full window record"; "cause" => %error);
+            *recorded = RecordedEra::default();
         }
     }
 }
 
+/// Era of the store if it is settled.
+fn settled_era(context: &EdgeContext, now: ClockTime) -> StoreEra {
+    let watch = context.era_watch.get();
+    if watch.is_settled(now) {
+        watch.era()
+    } else {
+        StoreEra::default()
+    }
+}
+
 /// Milliseconds since 1970; the clocks of hosts may differ by seconds.
 fn unix_time_ms(context: &EdgeContext) -> u64 {
     match SystemTime::now().duration_since(UNIX_EPOCH) {
@@ -252,6 +379,13 @@
 /// Applies the near-full window record of `data_centre`; an old or unreadable one counts as empty.
 fn apply_window_record(context: &EdgeContext, data_centre: &str, record: &StoreRecord) {
     let decoded = record.value.as_deref().map(NearFullRecord::decode);
+    if let Some(Ok(record_content)) = &decoded
+        && record_content.settled_era == record.offset.era
+    {
+        let mut watch = context.era_watch.get();
+        watch.record_settled(record.offset.era);
+        context.era_watch.set(watch);
+    }
     let is_recent = |record: &NearFullRecord| {
         let age = record.written_at_ms.abs_diff(unix_time_ms(context));
         age <= MAX_RECORD_AGE_MS
@@ -286,7 +420,7 @@
             continue;
         };
         match WireHostRegistration::decode(value) {
-            Ok(host) => roster.apply_registration(record.offset, host),
+            Ok(host) => roster.apply_stored(record.offset, host),
             Err(error) => warn!(context.logger, "skipped an unreadable registration";
                 "key" => record.key.as_str(), "cause" => %error),
         }
--- a/crates/policy/src/host_roster.rs
+++ b/crates/policy/src/host_roster.rs
@@ -8,12 +8,16 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
 
 use crocushoist_state::ClockTime;
 
+use crate::StoreEra;
+use crate::StoreOffset;
+
 /// Milliseconds for which a silent candidate is skipped, unless a message from it arrives
 /// earlier.
 const SUSPECT_MS: u64 = 6_000;
@@ -34,6 +38,8 @@
     pub capacity: u32,
     /// Number that distinguishes restarts of the host.
     pub incarnation: u64,
+    /// Newest era of the store that the host knew when it registered.
+    pub era: StoreEra,
 }
 
 impl HostRegistration {
@@ -41,6 +47,7 @@
     pub fn is_same_host(&self, other: &HostRegistration) -> bool {
         let restarted = HostRegistration {
             incarnation: self.incarnation,
+            era: self.era,
             ..other.clone()
         };
         *self == restarted
@@ -51,19 +58,48 @@
 #[derive(Clone, Debug, Default)]
 pub struct HostRoster {
     /// Registrations by peer address, each with its offset in the store.
-    registrations: BTreeMap<SocketAddr, (u64, HostRegistration)>,
+    registrations: BTreeMap<SocketAddr, (StoreOffset, HostRegistration)>,
     /// Silent hosts by peer address, each with the time until which it is skipped as a hub.
     suspects: HashMap<SocketAddr, ClockTime>,
     /// Hosts that cannot serve as a hub, likewise.
     unfit: HashMap<SocketAddr, ClockTime>,
+    /// Era in which all registrations were last read.
+    read_era: StoreEra,
+    /// Hosts whose registrations the store holds in that era.
+    stored: HashSet<SocketAddr>,
 }
 
 impl HostRoster {
+    /// Begins a read of all registrations in `era`; returns the era of the read before.
+    pub fn begin_full_read(&mut self, era: StoreEra) -> StoreEra {
+        self.stored.clear();
+        std::mem::replace(&mut self.read_era, era)
+    }
+
+    /// Adds the registration that the store holds at `offset`, unless a later one is known.
+    pub fn apply_stored(&mut self, offset: StoreOffset, registration: HostRegistration) {
+        if offset.era == self.read_era {
+            self.stored.insert(registration.peer_address);
+        }
+        self.apply_registration(offset, registration);
+    }
+
+    /// Whether the store lost the registration of the host at `peer_address` in `era`, as far as
+    /// this host read it in that era.
+    pub fn is_lost(&self, peer_address: SocketAddr, era: StoreEra) -> bool {
+        era.is_known() && self.read_era == era && !self.stored.contains(&peer_address)
+    }
+
     /// Adds the registration read at `offset`, unless a later one is known.
-    pub fn apply_registration(&mut self, offset: u64, registration: HostRegistration) {
-        let known = self.registrations.get(&registration.peer_address);
-        if known.is_some_and(|(at, _)| *at >= offset) {
-            return;
+    ///
+    /// A store that came back from a copy may hold an earlier registration than the known one, at
+    /// an offset of its new era. Only one that was written in that era replaces the known one.
+    pub fn apply_registration(&mut self, offset: StoreOffset, registration: HostRegistration) {
+        if let Some((at, _)) = self.registrations.get(&registration.peer_address) {
+            let is_of_copy = offset.era > at.era && registration.era < offset.era;
+            if is_of_copy || !offset.supersedes(*at) {
+                return;
+            }
         }
         self.suspects.remove(&registration.peer_address);
         self.unfit.remove(&registration.peer_address);
@@ -72,9 +108,9 @@
     }
 
     /// Removes the host that callers reach at `caller_address`, which deregistered at `offset`.
-    pub fn remove(&mut self, offset: u64, caller_address: SocketAddr) {
+    pub fn remove(&mut self, offset: StoreOffset, caller_address: SocketAddr) {
         self.registrations.retain(|_, (at, registration)| {
-            registration.caller_address != caller_address || *at >= offset
+            registration.caller_address != caller_address || !offset.supersedes(*at)
         });
     }
 
@@ -112,7 +148,7 @@
     }
 
     /// Registration of the host at `peer_address` and its offset in the store.
-    pub fn find(&self, peer_address: SocketAddr) -> Option<&(u64, HostRegistration)> {
+    pub fn find(&self, peer_address: SocketAddr) -> Option<&(StoreOffset, HostRegistration)> {
         self.registrations.get(&peer_address)
     }
 
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -7,6 +7,8 @@
 use crate::InstanceListing;
 use crate::OutcomeCounts;
 use crate::Presence;
+use crate::StoreEra;
+use crate::StoreOffset;
 use crate::TrialOffer;
 use crate::name_hash;
 use crate::trial_round::OFFER_VALID_MS;
@@ -41,7 +43,9 @@
     /// Whether the instance list contains it, or its entry expired while the store was unavailable.
     pub presence: Presence,
     /// Offset of the last entry that changed more than its sequence number and warm-up.
-    pub changed_offset: u64,
+    pub changed_offset: StoreOffset,
+    /// Era in which a gone instance was listed again, and the sequence number of that entry.
+    relisted: Option<(StoreEra, u64)>,
     /// Requests in flight from this host.
     pub in_flight: u32,
     /// Requests in flight from the other hosts, as last reported by the hub.
@@ -82,7 +86,7 @@
     /// State of an instance that was listed at `offset`, with `latency_ms` assumed until
     /// responses arrive.
     pub(crate) fn new(
-        offset: u64,
+        offset: StoreOffset,
         listing: InstanceListing,
         latency_ms: f64,
         now: ClockTime,
@@ -91,6 +95,7 @@
             hash: name_hash(&listing.id),
             presence: Presence::Listed,
             changed_offset: offset,
+            relisted: None,
             in_flight: 0,
             others_in_flight: 0,
             warm_up_until: now.plus(listing.warm_up_ms),
@@ -174,6 +179,26 @@
         is_back || !is_same
     }
 
+    /// Whether an entry of the same start, read in `era`, may make the instance present.
+    ///
+    /// The copy that a store came back from may list an instance that is gone. Only a second entry
+    /// in that era, with a higher `seq`, shows that the instance still writes.
+    pub(crate) fn may_return(&mut self, era: StoreEra, seq: u64) -> bool {
+        if self.presence != Presence::Gone || era <= self.changed_offset.era {
+            return true;
+        }
+        if self.listing.leaving {
+            return false;
+        }
+        match self.relisted {
+            Some((relisted_era, first_seq)) if relisted_era == era => seq > first_seq,
+            _ => {
+                self.relisted = Some((era, seq));
+                false
+            }
+        }
+    }
+
     /// Records that the instance itself reported that it is leaving or has another identity
     /// than listed.
     pub(crate) fn record_departure(&mut self) {
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -5,6 +5,11 @@
 //! the instance, or with a lower sequence number, is outdated and ignored. The
 //! fault probability alone never excludes an instance: while all of them look
 //! faulty, the least suspicious ones still serve requests.
+//!
+//! A store that came back from a copy may list instances that have left. The
+//! table therefore keeps its instances across eras, and an entry of a later era
+//! does not undo what is known: an instance that was leaving stays so until it
+//! starts anew, and one that was gone until it is seen to write in that era.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -24,6 +29,8 @@
 use crate::Presence;
 use crate::RetrySafety;
 use crate::ServiceCounts;
+use crate::StoreEra;
+use crate::StoreOffset;
 use crate::TrialOffer;
 use crate::instance_index::InstanceIndex;
 use crate::instance_selector::InstanceCandidate;
@@ -67,7 +74,7 @@
     /// Mean latencies in milliseconds by service, each with the time when it was computed.
     mean_latencies: RefCell<HashMap<CompactString, (f64, ClockTime)>>,
     /// Offset of the first entry that was not applied yet.
-    next_offset: u64,
+    next_offset: StoreOffset,
     /// Requests of this host since the last report, by the hash of the service's name.
     service_counts: HashMap<u32, ServiceCounts>,
     /// At the hub: requests of the fleet, likewise.
@@ -77,18 +84,44 @@
     /// At the hub: offers of trials to hosts.
     trial_offers: TrialOffers,
     /// Offset from which on every removal was applied. A full list does not contain earlier ones.
-    removals_known_from: u64,
+    removals_known_from: StoreOffset,
+    /// Era in which another host's whole list was merged.
+    merged_era: StoreEra,
 }
 
 impl InstanceTable {
     /// Offset of the first entry of the instance list that was not applied yet.
-    pub fn next_offset(&self) -> u64 {
+    pub fn next_offset(&self) -> StoreOffset {
         self.next_offset
     }
 
-    /// Records that every entry before `offset` was applied.
-    pub fn advance(&mut self, offset: u64) {
-        self.next_offset = self.next_offset.max(offset);
+    /// Offset to report to a hub: its changes from there on are missing here.
+    ///
+    /// A host that read the list from a copy lacks what other hosts know of instances that left.
+    pub fn reported_offset(&self) -> StoreOffset {
+        if self.lacks_departures() {
+            StoreOffset::new(self.next_offset.era, 0)
+        } else {
+            self.next_offset
+        }
+    }
+
+    /// Whether no other host's list was merged in this era.
+    pub fn lacks_departures(&self) -> bool {
+        self.next_offset.era.is_known() && self.merged_era != self.next_offset.era
+    }
+
+    /// Records that the whole list of another host of the era `era` was applied.
+    pub fn record_merged(&mut self, era: StoreEra) {
+        self.merged_era = self.merged_era.max(era);
+    }
+
+    /// Records that every entry of the era before `offset` was applied; ignored if the list is of
+    /// another era, because the rest of it must be read first.
+    pub fn advance(&mut self, offset: StoreOffset) {
+        if offset.is_at_or_after(self.next_offset) {
+            self.next_offset = offset;
+        }
     }
 
     /// State of the instance `key`.
@@ -106,12 +139,29 @@
         self.index.find_hash(hash)
     }
 
-    /// Applies the list entry at `offset`.
+    /// Applies the list entry that the store holds at `offset`.
     pub fn apply_listing(
         &mut self,
-        offset: u64,
+        offset: StoreOffset,
         listing: InstanceListing,
         now: ClockTime,
+    ) -> ListingChange {
+        if let Some(key) = self.index.find_id(&listing.id) {
+            let state = &mut self.instances[key];
+            let is_same_start = state.listing.started_at_unix_ms == listing.started_at_unix_ms;
+            if is_same_start && !state.may_return(offset.era, listing.seq) {
+                return ListingChange::Unchanged;
+            }
+        }
+        self.apply_entry(offset, listing, now)
+    }
+
+    /// Applies an entry of the store or of another host, unless a newer one is known.
+    fn apply_entry(
+        &mut self,
+        offset: StoreOffset,
+        mut listing: InstanceListing,
+        now: ClockTime,
     ) -> ListingChange {
         let Some(key) = self.index.find_id(&listing.id) else {
             self.insert(offset, listing, now);
@@ -127,6 +177,7 @@
             self.insert(offset, listing, now);
             return ListingChange::Joined;
         }
+        listing.leaving |= state.listing.leaving;
         let starts_leaving = listing.leaving && !state.listing.leaving;
         if !state.apply_entry(listing, now) {
             return ListingChange::Unchanged;
@@ -146,7 +197,7 @@
     /// earlier.
     pub fn apply_removal(
         &mut self,
-        offset: u64,
+        offset: StoreOffset,
         id: &str,
         lapse_until: Option<ClockTime>,
         now: ClockTime,
@@ -173,7 +224,7 @@
     /// which `is_listed` is false and returns their ids.
     pub fn finish_full_list(
         &mut self,
-        end: u64,
+        end: StoreOffset,
         is_listed: impl Fn(&str) -> bool,
         lapse_until: Option<ClockTime>,
         now: ClockTime,
@@ -186,10 +237,10 @@
             .map(|state| state.listing.id.clone())
             .collect();
         for id in &absent {
-            self.apply_removal(end.saturating_sub(1), id, lapse_until, now);
+            self.apply_removal(end.previous(), id, lapse_until, now);
         }
-        self.advance(end);
-        self.removals_known_from = self.removals_known_from.max(end);
+        self.next_offset = self.next_offset.latest(end);
+        self.removals_known_from = self.removals_known_from.latest(end);
         absent
     }
 
@@ -197,20 +248,25 @@
     ///
     /// A table that was filled from a full list has no entry for an instance that was removed
     /// before. A host that still lists that instance needs the full list too.
-    pub fn knows_changes_since(&self, offset: u64) -> bool {
-        offset >= self.removals_known_from
+    pub fn knows_changes_since(&self, offset: StoreOffset) -> bool {
+        offset.is_at_or_after(self.removals_known_from)
     }
 
-    /// Applies an entry that a hub relayed.
+    /// Applies an entry that another host relayed.
+    ///
+    /// Of an entry of an earlier era than this list, only a departure is applied.
     pub fn apply_relayed(
         &mut self,
-        offset: u64,
+        offset: StoreOffset,
         listing: InstanceListing,
         presence: Presence,
         now: ClockTime,
     ) -> ListingChange {
+        if offset.era < self.next_offset.era {
+            return self.apply_departure(listing, presence, now);
+        }
         let id = listing.id.clone();
-        let mut change = self.apply_listing(offset, listing, now);
+        let mut change = self.apply_entry(offset, listing, now);
         let Some(key) = self.index.find_id(&id) else {
             return change;
         };
@@ -222,7 +278,7 @@
             (Presence::Listed, Presence::Lapsing(_) | Presence::Gone)
                 | (Presence::Lapsing(_), Presence::Gone)
         );
-        if offset >= state.changed_offset && is_later_stage {
+        if !state.changed_offset.supersedes(offset) && is_later_stage {
             state.presence = presence;
             state.changed_offset = offset;
             change = if presence == Presence::Gone {
@@ -234,14 +290,67 @@
         change
     }
 
+    /// Applies what another host's entry says of the departure of an instance, unless a newer
+    /// entry is known. Its other content is ignored, because this list is newer.
+    ///
+    /// The change gets the present position of this list, so that a hub relays it.
+    pub fn apply_departure(
+        &mut self,
+        listing: InstanceListing,
+        presence: Presence,
+        now: ClockTime,
+    ) -> ListingChange {
+        let is_gone = presence == Presence::Gone;
+        if !is_gone && !listing.leaving {
+            return ListingChange::Unchanged;
+        }
+        let offset = self.next_offset;
+        let known = self.index.find_id(&listing.id).map(|key| {
+            let known = &self.instances[key];
+            (key, known.listing.started_at_unix_ms, known.listing.seq)
+        });
+        let key = match known {
+            Some((key, started_at, seq)) if started_at == listing.started_at_unix_ms => {
+                if listing.seq < seq {
+                    return ListingChange::Unchanged;
+                }
+                key
+            }
+            Some((_, started_at, _)) if started_at > listing.started_at_unix_ms => {
+                return ListingChange::Unchanged;
+            }
+            earlier => {
+                if let Some((key, _, _)) = earlier {
+                    self.remove_member(key);
+                }
+                self.insert(offset, listing.clone(), now)
+            }
+        };
+        let state = &mut self.instances[key];
+        let was_present = state.presence != Presence::Gone;
+        let starts_leaving = listing.leaving && !state.listing.leaving;
+        state.listing.leaving |= listing.leaving;
+        state.listing.seq = listing.seq;
+        if is_gone && was_present {
+            state.presence = Presence::Gone;
+            state.changed_offset = offset;
+            return ListingChange::Gone;
+        }
+        if starts_leaving {
+            state.changed_offset = offset;
+            return ListingChange::Leaving;
+        }
+        ListingChange::Unchanged
+    }
+
     /// Instances whose entry changed at `offset` or later, in the order of their offsets.
-    pub fn changed_since(&self, offset: u64) -> Vec<&InstanceState> {
+    pub fn changed_since(&self, offset: StoreOffset) -> Vec<&InstanceState> {
         let mut changed: Vec<&InstanceState> = self
             .instances
             .values()
-            .filter(|state| state.changed_offset >= offset)
+            .filter(|state| state.changed_offset.is_at_or_after(offset))
             .collect();
-        changed.sort_unstable_by_key(|state| state.changed_offset);
+        changed.sort_unstable_by_key(|state| state.changed_offset.number());
         changed
     }
 
@@ -574,18 +683,42 @@
             .filter(move |(_, state)| state.is_usable(now))
     }
 
-    fn insert(&mut self, offset: u64, listing: InstanceListing, now: ClockTime) {
+    /// Instances that are gone, the one that left last first.
+    pub fn departed(&self) -> Vec<&InstanceState> {
+        let mut departed: Vec<&InstanceState> = self
+            .instances
+            .iter()
+            .filter(|(key, state)| {
+                state.presence == Presence::Gone
+                    && self.index.find_id(&state.listing.id) == Some(*key)
+            })
+            .map(|(_, state)| state)
+            .collect();
+        departed.sort_unstable_by_key(|state| {
+            let at = state.changed_offset;
+            std::cmp::Reverse((at.era, at.number()))
+        });
+        departed
+    }
+
+    fn insert(
+        &mut self,
+        offset: StoreOffset,
+        listing: InstanceListing,
+        now: ClockTime,
+    ) -> InstanceKey {
         let latency_ms = self.mean_latency_ms(&listing.service, now);
         let state = InstanceState::new(offset, listing, latency_ms, now);
         let key = self.instances.push(state);
         self.index.insert(key, &self.instances[key]);
+        key
     }
 
     /// Removes an earlier start of an instance from its service.
     fn remove_member(&mut self, key: InstanceKey) {
         let state = &mut self.instances[key];
         state.presence = Presence::Gone;
-        state.changed_offset = 0;
+        state.changed_offset = StoreOffset::default();
         self.index.remove_member(key, &state.listing.service);
     }
 }
--- a/crates/policy/src/near_full_records.rs
+++ b/crates/policy/src/near_full_records.rs
@@ -58,6 +58,8 @@
     local: HashMap<u32, ClockTime>,
     /// Time of the last write by this host.
     written_at: Option<ClockTime>,
+    /// Whether the record is written again although it is unchanged.
+    must_write: bool,
 }
 
 impl NearFullRecords {
@@ -71,6 +73,16 @@
         self.read_at = Some(now);
     }
 
+    /// Whether no workspace is to be recorded for this data centre.
+    pub fn is_local_empty(&self) -> bool {
+        self.local.is_empty()
+    }
+
+    /// Has the record written again although it is unchanged.
+    pub fn request_write(&mut self) {
+        self.must_write = true;
+    }
+
     /// Whether the records were read at most one window ago.
     pub fn is_recently_read(&self, now: ClockTime) -> bool {
         self.read_at.is_some_and(|at| now.since(at) <= WINDOW_MS)
@@ -148,10 +160,12 @@
             None => near_full.is_empty(),
         };
         let is_renewal = !self.local.is_empty() && since_write >= RENEW_INTERVAL_MS;
-        if (is_unchanged && !is_renewal) || since_write < MIN_WRITE_INTERVAL_MS {
+        if (is_unchanged && !is_renewal && !self.must_write) || since_write < MIN_WRITE_INTERVAL_MS
+        {
             return None;
         }
         self.written_at = Some(now);
+        self.must_write = false;
         Some(near_full)
     }
 }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -9,6 +9,7 @@
 use crocushoist_policy::CallerLimits;
 use crocushoist_policy::ConfigEvidence;
 use crocushoist_policy::DeploymentConfig;
+use crocushoist_policy::EraReading;
 use crocushoist_policy::RetryBudget;
 use crocushoist_policy::RetrySafety;
 use crocushoist_policy::RouteIndex;
@@ -142,15 +143,19 @@
 fn evidence_of_a_peer_dates_from_the_time_of_the_request() {
     let at = |millis: u64| ClockTime::from_millis(100_000 + millis);
     let mut evidence = ConfigEvidence::default();
+    let settled = EraReading {
+        is_settled: true,
+        ..EraReading::default()
+    };
     assert_eq!(evidence.age(at(0)), None);
-    evidence.record_store_evidence(at(0));
+    evidence.record_store_read(settled, 0, at(0));
     evidence.record_peer_evidence(at(1_000), 300);
     assert_eq!(evidence.age(at(1_500)), Some(800));
     assert_eq!(evidence.store_age(at(1_500)), Some(1_500));
     evidence.clear_peer_evidence();
     assert_eq!(evidence.age(at(1_500)), Some(1_500));
-    evidence.record_store_evidence(at(500));
-    evidence.record_store_evidence(at(200));
+    evidence.record_store_read(settled, 0, at(500));
+    evidence.record_store_read(settled, 0, at(200));
     assert_eq!(
         evidence.age(at(1_500)),
         Some(1_000),
--- a/crates/policy/tests/floor_under_failures.rs
+++ b/crates/policy/tests/floor_under_failures.rs
@@ -17,6 +17,8 @@
 use crocushoist_policy::InstanceListing;
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::RetrySafety;
+use crocushoist_policy::StoreEra;
+use crocushoist_policy::StoreOffset;
 use crocushoist_state::ClockTime;
 
 use crate::service_fixture::BOOT_MS;
@@ -177,7 +179,8 @@
                 warm_up_ms: 3_000,
                 ..state.listing.clone()
             };
-            hub.apply_listing(INSTANCES + index, listing, start);
+            let offset = StoreOffset::new(StoreEra::default(), INSTANCES + index);
+            hub.apply_listing(offset, listing, start);
         }
         let mut hosts: Vec<InstanceTable> = vec![hub.clone(); HOSTS];
         let mut was_tried = [false; NEW as usize];
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -7,6 +7,8 @@
 use crocushoist_policy::HostRoster;
 use crocushoist_policy::HubAggregator;
 use crocushoist_policy::ReporterId;
+use crocushoist_policy::StoreEra;
+use crocushoist_policy::StoreOffset;
 use crocushoist_policy::WindowLimit;
 use crocushoist_policy::WorkspaceCounts;
 use crocushoist_state::ClockTime;
@@ -48,9 +50,15 @@
         data_centre: data_centre.into(),
         capacity: 1,
         incarnation: 1,
+        era: StoreEra::default(),
     }
 }
 
+/// Position in the topic of a store that does not tell its era.
+fn offset(number: u64) -> StoreOffset {
+    StoreOffset::new(StoreEra::default(), number)
+}
+
 #[test]
 fn requests_reported_to_a_second_hub_are_counted_once() {
     let mut first = HubAggregator::default();
@@ -129,8 +137,11 @@
     let mut first = HostRoster::default();
     let mut second = HostRoster::default();
     for number in 1..5 {
-        first.apply_registration(u64::from(number), registration(number, "north"));
-        second.apply_registration(u64::from(number) + 50, registration(5 - number, "north"));
+        first.apply_registration(offset(u64::from(number)), registration(number, "north"));
+        second.apply_registration(
+            offset(u64::from(number) + 50),
+            registration(5 - number, "north"),
+        );
     }
     assert_eq!(first.hub_of("north", at(0)), second.hub_of("north", at(0)));
 }
@@ -139,7 +150,7 @@
 fn silent_hub_is_skipped_for_a_while() {
     let mut roster = HostRoster::default();
     for number in 1..4 {
-        roster.apply_registration(u64::from(number), registration(number, "north"));
+        roster.apply_registration(offset(u64::from(number)), registration(number, "north"));
     }
     roster.suspect(registration(1, "north").peer_address, at(0));
     assert_eq!(
@@ -156,7 +167,7 @@
 fn suspected_hub_is_chosen_again_after_a_message() {
     let mut roster = HostRoster::default();
     for number in 1..4 {
-        roster.apply_registration(u64::from(number), registration(number, "north"));
+        roster.apply_registration(offset(u64::from(number)), registration(number, "north"));
     }
     roster.suspect(registration(1, "north").peer_address, at(0));
     roster.clear_suspicion(registration(1, "north").peer_address);
@@ -170,7 +181,7 @@
 fn unfit_hub_stays_skipped_though_it_is_reachable() {
     let mut roster = HostRoster::default();
     for number in 1..4 {
-        roster.apply_registration(u64::from(number), registration(number, "north"));
+        roster.apply_registration(offset(u64::from(number)), registration(number, "north"));
     }
     roster.mark_unfit(registration(1, "north").peer_address, at(0));
     roster.clear_suspicion(registration(1, "north").peer_address);
@@ -188,10 +199,10 @@
 fn restarted_hub_is_no_longer_unfit() {
     let mut roster = HostRoster::default();
     for number in 1..4 {
-        roster.apply_registration(u64::from(number), registration(number, "north"));
+        roster.apply_registration(offset(u64::from(number)), registration(number, "north"));
     }
     roster.mark_unfit(registration(1, "north").peer_address, at(0));
-    roster.apply_registration(9, registration(1, "north"));
+    roster.apply_registration(offset(9), registration(1, "north"));
     assert_eq!(
         roster.hub_of("north", at(100)),
         Some(&registration(1, "north"))
@@ -201,12 +212,12 @@
 #[test]
 fn outdated_registration_is_ignored() {
     let mut roster = HostRoster::default();
-    roster.apply_registration(5, registration(1, "north"));
-    roster.apply_registration(3, registration(1, "south"));
+    roster.apply_registration(offset(5), registration(1, "north"));
+    roster.apply_registration(offset(3), registration(1, "south"));
     assert!(roster.hub_of("south", at(0)).is_none());
-    roster.remove(4, registration(1, "north").caller_address);
+    roster.remove(offset(4), registration(1, "north").caller_address);
     assert_eq!(roster.len(), 1);
-    roster.remove(6, registration(1, "north").caller_address);
+    roster.remove(offset(6), registration(1, "north").caller_address);
     assert!(roster.is_empty());
 }
 
@@ -259,7 +270,7 @@
             capacity,
             ..registration(number, "north")
         };
-        roster.apply_registration(u64::from(number), host);
+        roster.apply_registration(offset(u64::from(number)), host);
     }
     let hub = |roster: &HostRoster, now| roster.hub_of("north", now).map(|host| host.peer_address);
     assert_eq!(hub(&roster, at(0)), Some(reporter(2).peer_address));
--- a/crates/policy/tests/service_fixture/mod.rs
+++ b/crates/policy/tests/service_fixture/mod.rs
@@ -4,6 +4,8 @@
 
 use crocushoist_policy::InstanceListing;
 use crocushoist_policy::InstanceTable;
+use crocushoist_policy::StoreEra;
+use crocushoist_policy::StoreOffset;
 use crocushoist_state::ClockTime;
 
 pub(crate) const SERVICE: &str = "ledger";
@@ -28,7 +30,7 @@
             leaving: false,
             warm_up_ms: 0,
         };
-        table.apply_listing(index, listing, now);
+        table.apply_listing(StoreOffset::new(StoreEra::default(), index), listing, now);
     }
     table
 }
