Keep departures against late reads and expired lapses

Change: entries and removals from before the known change are ignored, a lapse that is over counts as gone in messages, and a whole list vouches for the instances in it. The decisions of the exchange move to the table, so that they run without network.

--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -186,26 +186,12 @@
         Vec::new()
     };
     let table = context.instances.borrow();
-    let reported_offset = StoreOffset::from(report.listing_offset);
-    let is_behind = reported_offset.era > table.next_offset().era;
-    let mut changed = table.changed_since(reported_offset);
-    let needs_full_list = !is_behind
-        && (changed.len() > MAX_RELAYED_ENTRIES || !table.knows_changes_since(reported_offset));
-    if needs_full_list {
-        changed.clear();
-    }
-    let rows: Vec<WireListing> = changed
-        .iter()
-        .take(MAX_ENTRIES_PER_ANSWER)
-        .map(|state| WireListing::new(state, now))
-        .collect();
-    let is_complete = !is_behind && !needs_full_list && changed.len() <= rows.len();
-    // The rows are in the order of their offsets: the last one sent is the newest.
-    let listing_offset = match rows.last() {
-        _ if is_behind || needs_full_list => report.listing_offset,
-        Some(last) if !is_complete => last.changed_at,
-        _ => table.next_offset().into(),
-    };
+    let changes = table.changes_for(
+        report.listing_offset.into(),
+        MAX_RELAYED_ENTRIES,
+        MAX_ENTRIES_PER_ANSWER,
+    );
+    let entries = changes.entries.iter();
     let aggregator = context.aggregator.borrow();
     let fleet_load = aggregator.fleet_load();
     let reporter_load: HashMap<u32, u32> = report.in_flight.iter().copied().collect();
@@ -235,11 +221,11 @@
         is_leaving: context.stopping.get(),
         config_version: context.config_version(),
         evidence_age: context.evidence.borrow().age(now),
-        rows,
-        listing_offset,
-        listing_age: context.listing_age(now).filter(|_| is_complete),
+        rows: entries.map(|state| WireListing::new(state, now)).collect(),
+        listing_offset: changes.end_offset.into(),
+        listing_age: context.listing_age(now).filter(|_| changes.is_complete),
         reads_listing: context.reads_listing(now),
-        needs_full_list: needs_full_list && context.listing_synced_at.get().is_some(),
+        needs_full_list: changes.needs_full_list && context.listing_synced_at.get().is_some(),
         must_register: context
             .roster
             .borrow()
--- a/crates/edge/src/listing_snapshot.rs
+++ b/crates/edge/src/listing_snapshot.rs
@@ -5,9 +5,6 @@
 //! a host that can. The list also has the instances that left last, because a
 //! store that came back from a copy may still list them.
 
-use std::collections::HashSet;
-
-use compact_str::CompactString;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::info;
@@ -65,57 +62,29 @@
     pub(crate) fn apply(self, context: &EdgeContext, requested_at: ClockTime, now: ClockTime) {
         let end_offset = StoreOffset::from(self.end_offset);
         context.learn_era(end_offset.era, now);
-        let own_offset = context.instances.borrow().next_offset();
-        if own_offset.supersedes(end_offset) {
-            return self.apply_departures(context, now);
-        }
-        // The peer may not know of instances that the store lost and that will write again.
-        let is_later_era = own_offset.era.is_known() && end_offset.era > own_offset.era;
-        let lapse_until = is_later_era.then(|| now.plus(RELISTING_WINDOW_MS));
-        let mut joined = 0;
-        let mut ids: HashSet<CompactString> = HashSet::with_capacity(self.entries.len());
-        for entry in self.entries {
-            let offset = StoreOffset::from(entry.changed_at);
-            let presence = entry.presence(now);
-            let listing: InstanceListing = entry.into();
-            let id = listing.id.clone();
-            let mut table = context.instances.borrow_mut();
-            let change = table.apply_relayed(offset, listing, presence, now);
-            drop(table);
-            if change == ListingChange::Joined {
-                joined += 1;
-            } else {
-                log_change(context, &id, change, offset);
-            }
-            ids.insert(id);
-        }
-        let absent = {
+        let entries: Vec<_> = self
+            .entries
+            .into_iter()
+            .map(|entry| {
+                let offset = StoreOffset::from(entry.changed_at);
+                let presence = entry.presence(now);
+                (offset, InstanceListing::from(entry), presence)
+            })
+            .collect();
+        let instances = entries.len();
+        let (is_whole, changes) = {
             let mut table = context.instances.borrow_mut();
-            table.record_merged(end_offset.era);
-            table.finish_full_list(end_offset, |id| ids.contains(id), lapse_until, now)
+            table.apply_full_list(end_offset, entries, RELISTING_WINDOW_MS, now)
         };
-        info!(context.logger, "instance list fetched"; "instances" => ids.len(),
-            "joined" => joined, "age_ms" => self.age, "offset" => %end_offset);
-        for id in absent {
-            info!(context.logger, "instance left"; "instance" => id.as_str(),
-                "cause" => "not in a peer's full list", "offset" => %end_offset);
+        let joined = |change: &ListingChange| *change == ListingChange::Joined;
+        info!(context.logger, "instance list fetched"; "instances" => instances,
+            "joined" => changes.iter().filter(|(_, change)| joined(change)).count(),
+            "age_ms" => self.age, "offset" => %end_offset, "is_newer" => is_whole);
+        for (id, change) in changes.iter().filter(|(_, change)| !joined(change)) {
+            log_change(context, id, *change, end_offset);
         }
-        if let Some(age) = self.age {
+        if is_whole && let Some(age) = self.age {
             context.record_listing_sync(requested_at.minus(age));
         }
     }
-
-    /// Applies the departures in a list that is older than that of this host.
-    fn apply_departures(self, context: &EdgeContext, now: ClockTime) {
-        let mut table = context.instances.borrow_mut();
-        let offset = table.next_offset();
-        for entry in self.entries {
-            let presence = entry.presence(now);
-            let listing: InstanceListing = entry.into();
-            let id = listing.id.clone();
-            let change = table.apply_departure(listing, presence, now);
-            log_change(context, &id, change, offset);
-        }
-        table.record_merged(offset.era);
-    }
 }
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -360,7 +360,7 @@
             slots: listing.slots,
             leaving: listing.leaving,
             warm_up_ms: state.warm_up_left_ms(now),
-            presence: match state.presence {
+            presence: match state.presence_at(now) {
                 Presence::Listed => WirePresence::Listed,
                 Presence::Lapsing(until) => WirePresence::Lapsing(until.since(now)),
                 Presence::Gone => WirePresence::Gone,
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -127,6 +127,14 @@
         is_present && !self.listing.leaving && !self.has_reported_departure
     }
 
+    /// Presence at `now`, gone after the lapse time.
+    pub fn presence_at(&self, now: ClockTime) -> Presence {
+        match self.presence {
+            Presence::Lapsing(until) if now >= until => Presence::Gone,
+            presence => presence,
+        }
+    }
+
     /// Whether the instance is not in backoff on this host.
     pub fn is_past_backoff(&self, now: ClockTime) -> bool {
         self.backoff_until <= now
@@ -179,17 +187,21 @@
         is_back || !is_same
     }
 
-    /// Whether an entry of the same start, read in `era`, may make the instance present.
+    /// Whether an entry of the same start, read at `offset`, may make the instance present.
     ///
-    /// The copy that a store came back from may list an instance that is gone. Only a second entry
+    /// An entry from before the removal does not. The copy that a store came back from may list an instance that is gone. Only a second entry
     /// in that era, with a higher `seq`, shows that the instance still writes.
-    pub(crate) fn may_return(&mut self, era: StoreEra, seq: u64) -> bool {
-        if self.presence != Presence::Gone || era <= self.changed_offset.era {
+    pub(crate) fn may_return(&mut self, offset: StoreOffset, seq: u64) -> bool {
+        let era = offset.era;
+        if self.presence != Presence::Gone {
             return true;
         }
-        if self.listing.leaving {
+        if self.listing.leaving || !offset.supersedes(self.changed_offset) {
             return false;
         }
+        if era == self.changed_offset.era {
+            return true;
+        }
         match self.relisted {
             Some((relisted_era, first_seq)) if relisted_era == era => seq > first_seq,
             _ => {
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -13,6 +13,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use compact_str::CompactString;
@@ -25,6 +26,7 @@
 use crate::InstanceListing;
 use crate::InstanceState;
 use crate::ListingChange;
+use crate::ListingChanges;
 use crate::OutcomeCounts;
 use crate::Presence;
 use crate::RetrySafety;
@@ -149,7 +151,7 @@
         if let Some(key) = self.index.find_id(&listing.id) {
             let state = &mut self.instances[key];
             let is_same_start = state.listing.started_at_unix_ms == listing.started_at_unix_ms;
-            if is_same_start && !state.may_return(offset.era, listing.seq) {
+            if is_same_start && !state.may_return(offset, listing.seq) {
                 return ListingChange::Unchanged;
             }
         }
@@ -206,7 +208,10 @@
             return ListingChange::Unchanged;
         };
         let state = &mut self.instances[key];
-        if state.presence != Presence::Listed {
+        if state.presence == Presence::Gone || state.changed_offset.supersedes(offset) {
+            return ListingChange::Unchanged;
+        }
+        if state.presence != Presence::Listed && lapse_until.is_some_and(|until| now < until) {
             return ListingChange::Unchanged;
         }
         state.changed_offset = offset;
@@ -221,7 +226,8 @@
     }
 
     /// Completes a read of the full list up to the offset `end`: removes listed instances for
-    /// which `is_listed` is false and returns their ids.
+    /// which `is_listed` is false and returns their ids. A list that another host's newer one
+    /// overtook removes none.
     pub fn finish_full_list(
         &mut self,
         end: StoreOffset,
@@ -229,6 +235,9 @@
         lapse_until: Option<ClockTime>,
         now: ClockTime,
     ) -> Vec<CompactString> {
+        if self.next_offset.supersedes(end) {
+            return Vec::new();
+        }
         let absent: Vec<CompactString> = self
             .instances
             .values()
@@ -265,6 +274,17 @@
         if offset.era < self.next_offset.era {
             return self.apply_departure(listing, presence, now);
         }
+        if let Some(key) = self.index.find_id(&listing.id) {
+            let state = &self.instances[key];
+            let is_same_start = state.listing.started_at_unix_ms == listing.started_at_unix_ms;
+            let is_gone = state.presence == Presence::Gone;
+            // The other host has missed the removal, whatever later sequence number it read before.
+            let is_renewed =
+                presence == Presence::Listed && offset.supersedes(state.changed_offset);
+            if is_same_start && is_gone && !is_renewed {
+                return ListingChange::Unchanged;
+            }
+        }
         let id = listing.id.clone();
         let mut change = self.apply_entry(offset, listing, now);
         let Some(key) = self.index.find_id(&id) else {
@@ -294,7 +314,7 @@
     /// entry is known. Its other content is ignored, because this list is newer.
     ///
     /// The change gets the present position of this list, so that a hub relays it.
-    pub fn apply_departure(
+    fn apply_departure(
         &mut self,
         listing: InstanceListing,
         presence: Presence,
@@ -343,6 +363,108 @@
         ListingChange::Unchanged
     }
 
+    /// Applies the whole list of another host up to `end`, or only the departures in it if this
+    /// list is newer. Returns whether it was applied in whole, and every change.
+    ///
+    /// Instances that a list of a later era lacks have `relisting_ms` to write their entries
+    /// again, because the other host may know no more than the copy.
+    pub fn apply_full_list(
+        &mut self,
+        end: StoreOffset,
+        entries: Vec<(StoreOffset, InstanceListing, Presence)>,
+        relisting_ms: u64,
+        now: ClockTime,
+    ) -> (bool, Vec<(CompactString, ListingChange)>) {
+        let own = self.next_offset;
+        let is_outdated = own.supersedes(end);
+        let mut changes = Vec::new();
+        let mut ids = HashSet::with_capacity(entries.len());
+        for (offset, listing, presence) in entries {
+            let id = listing.id.clone();
+            let change = if is_outdated {
+                self.apply_departure(listing, presence, now)
+            } else if presence == Presence::Listed {
+                // The other host found the instance in its list up to `end`, whenever the entry
+                // changed.
+                self.end_lapse(&listing);
+                self.apply_relayed(offset.latest(end.previous()), listing, presence, now)
+            } else {
+                self.apply_relayed(offset, listing, presence, now)
+            };
+            changes.push((id.clone(), change));
+            ids.insert(id);
+        }
+        if is_outdated {
+            self.record_merged(own.era);
+            return (false, changes);
+        }
+        let is_later_era = own.era.is_known() && end.era > own.era;
+        let lapse_until = is_later_era.then(|| now.plus(relisting_ms));
+        let absent = self.finish_full_list(end, |id| ids.contains(id), lapse_until, now);
+        changes.extend(absent.into_iter().map(|id| {
+            let is_lapsing = self
+                .index
+                .find_id(&id)
+                .is_some_and(|key| matches!(self.instances[key].presence, Presence::Lapsing(_)));
+            let change = if is_lapsing {
+                ListingChange::Lapsed
+            } else {
+                ListingChange::Gone
+            };
+            (id, change)
+        }));
+        self.record_merged(end.era);
+        (true, changes)
+    }
+
+    /// Lists a lapsing instance again of which another host knows at least the last entry.
+    fn end_lapse(&mut self, listing: &InstanceListing) {
+        let Some(key) = self.index.find_id(&listing.id) else {
+            return;
+        };
+        let state = &mut self.instances[key];
+        let is_same_start = state.listing.started_at_unix_ms == listing.started_at_unix_ms;
+        let is_lapsing = matches!(state.presence, Presence::Lapsing(_));
+        if is_same_start && is_lapsing && listing.seq >= state.listing.seq {
+            state.presence = Presence::Listed;
+        }
+    }
+
+    /// Changes for a host that knows the list up to `reported`.
+    ///
+    /// Of more than `max_relayed` changes none is relayed, because the whole list is shorter; one
+    /// message has at most `max_entries`.
+    pub fn changes_for(
+        &self,
+        reported: StoreOffset,
+        max_relayed: usize,
+        max_entries: usize,
+    ) -> ListingChanges<'_> {
+        let mut changes = ListingChanges {
+            entries: Vec::new(),
+            end_offset: reported,
+            is_complete: false,
+            needs_full_list: false,
+        };
+        if reported.era > self.next_offset.era {
+            return changes;
+        }
+        let mut entries = self.changed_since(reported);
+        if entries.len() > max_relayed || !self.knows_changes_since(reported) {
+            changes.needs_full_list = true;
+            return changes;
+        }
+        changes.is_complete = entries.len() <= max_entries;
+        entries.truncate(max_entries);
+        // The entries are in the order of their offsets: the last one is the newest.
+        changes.end_offset = match entries.last() {
+            Some(last) if !changes.is_complete => last.changed_offset,
+            _ => self.next_offset,
+        };
+        changes.entries = entries;
+        changes
+    }
+
     /// Instances whose entry changed at `offset` or later, in the order of their offsets.
     pub fn changed_since(&self, offset: StoreOffset) -> Vec<&InstanceState> {
         let mut changed: Vec<&InstanceState> = self
