--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -8,6 +8,8 @@
 use crate::InstanceListing;
 use crate::OutcomeCounts;
 use crate::Presence;
+use crate::StoreEra;
+use crate::StoreOffset;
 use crate::TrialOffer;
 use crate::name_hash;
 use crate::trial_round::OFFER_VALID_MS;
@@ -45,7 +47,9 @@
     /// Whether the instance list contains it, or its entry expired while the store was unavailable.
     pub presence: Presence,
     /// Offset of the last entry that changed more than its sequence number and warm-up.
-    pub changed_offset: u64,
+    pub changed_offset: StoreOffset,
+    /// Era in which a gone instance was listed again, and the sequence number of that entry.
+    relisted: Option<(StoreEra, u64)>,
     /// Requests in flight from this host.
     pub in_flight: u32,
     /// Requests in flight from the other hosts, as last reported by the hub.
@@ -88,7 +92,7 @@
     /// State of an instance that was listed at `offset`, with `latency_ms` assumed until
     /// responses arrive.
     pub(crate) fn new(
-        offset: u64,
+        offset: StoreOffset,
         listing: InstanceListing,
         latency_ms: f64,
         now: ClockTime,
@@ -97,6 +101,7 @@
             hash: name_hash(&listing.id),
             presence: Presence::Listed,
             changed_offset: offset,
+            relisted: None,
             in_flight: 0,
             others_in_flight: 0,
             warm_up_until: now.plus(listing.warm_up_ms),
@@ -161,6 +166,14 @@
         }
     }
 
+    /// Presence at `now`, gone after the lapse time.
+    pub fn presence_at(&self, now: ClockTime) -> Presence {
+        match self.presence {
+            Presence::Lapsing(until) if now >= until => Presence::Gone,
+            presence => presence,
+        }
+    }
+
     /// Whether the instance is not in backoff on this host.
     pub fn is_past_backoff(&self, now: ClockTime) -> bool {
         self.backoff_until <= now
@@ -213,6 +226,30 @@
         is_back || !is_same
     }
 
+    /// Whether an entry of the same start, read at `offset`, may make the instance present.
+    ///
+    /// An entry from before the removal does not. The copy that a store came back from may list an instance that is gone. Only a second entry
+    /// in that era, with a higher `seq`, shows that the instance still writes.
+    pub(crate) fn may_return(&mut self, offset: StoreOffset, seq: u64) -> bool {
+        let era = offset.era;
+        if self.presence != Presence::Gone {
+            return true;
+        }
+        if self.listing.leaving || !offset.supersedes(self.changed_offset) {
+            return false;
+        }
+        if era == self.changed_offset.era {
+            return true;
+        }
+        match self.relisted {
+            Some((relisted_era, first_seq)) if relisted_era == era => seq > first_seq,
+            _ => {
+                self.relisted = Some((era, seq));
+                false
+            }
+        }
+    }
+
     /// Records that the instance reported that it is leaving, or has another identity than listed.
     pub(crate) fn record_departure(&mut self) {
         self.has_reported_departure = true;
--- a/crates/policy/tests/instance_signals.rs
+++ b/crates/policy/tests/instance_signals.rs
@@ -9,6 +9,8 @@
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::Presence;
 use crocushoist_policy::RetrySafety;
+use crocushoist_policy::StoreEra;
+use crocushoist_policy::StoreOffset;
 use crocushoist_policy::TrialOffer;
 use crocushoist_state::ClockTime;
 
@@ -19,6 +21,10 @@
 
 const INSTANCES: u64 = 3;
 
+fn offset(number: u64) -> StoreOffset {
+    StoreOffset::new(StoreEra::default(), number)
+}
+
 fn at(millis: u64) -> ClockTime {
     ClockTime::from_millis(BOOT_MS + millis)
 }
@@ -63,22 +69,22 @@
     assert!(table.record_leaving(key, at(0)));
     assert!(!table.record_leaving(key, at(1)), "it is reported once");
     assert!(!is_chosen(&mut table, key, at(1)));
-    table.apply_listing(10, entry(&table, 1, 2), at(10));
+    table.apply_listing(offset(10), entry(&table, 1, 2), at(10));
     assert!(!is_chosen(&mut table, key, at(10)), "after a heartbeat");
-    table.apply_removal(11, "i-0", Some(at(2_000)), at(20));
+    table.apply_removal(offset(11), "i-0", Some(at(2_000)), at(20));
     assert!(!is_chosen(&mut table, key, at(20)), "while it lapses");
-    table.apply_listing(12, entry(&table, 1, 3), at(30));
+    table.apply_listing(offset(12), entry(&table, 1, 3), at(30));
     assert!(!is_chosen(&mut table, key, at(30)), "after its return");
-    table.finish_full_list(20, |id| id != "i-0", None, at(40));
-    table.apply_listing(21, entry(&table, 1, 4), at(50));
+    table.finish_full_list(offset(20), |id| id != "i-0", None, at(40));
+    table.apply_listing(offset(21), entry(&table, 1, 4), at(50));
     assert!(!is_chosen(&mut table, key, at(50)), "after a full list");
-    table.apply_relayed(22, entry(&table, 1, 5), Presence::Listed, at(60));
+    table.apply_relayed(offset(22), entry(&table, 1, 5), Presence::Listed, at(60));
     assert!(!is_chosen(&mut table, key, at(60)), "after a relayed entry");
     let moved = InstanceListing {
         service: "archive".into(),
         ..entry(&table, 1, 6)
     };
-    table.apply_listing(23, moved, at(70));
+    table.apply_listing(offset(23), moved, at(70));
     assert_eq!(table.usable_count("archive", at(70)), 0);
 }
 
@@ -87,7 +93,7 @@
 fn new_start_under_the_same_id_gets_requests() {
     let mut table = new_table(INSTANCES, at(0));
     table.record_leaving(first_key(&table), at(0));
-    table.apply_listing(10, entry(&table, 2, 1), at(10));
+    table.apply_listing(offset(10), entry(&table, 2, 1), at(10));
     assert_eq!(table.usable_count(SERVICE, at(10)), INSTANCES as usize);
     // Hosts that have not read the new entry go on telling about the earlier start.
     let notice = DepartureNotice {
@@ -112,7 +118,7 @@
     assert!(!is_chosen(&mut host, key, at(20)));
     let mut started = InstanceTable::default();
     assert_eq!(started.apply_departure(told[0], at(10)), None);
-    started.apply_listing(0, entry(&teller, 1, 9), at(20));
+    started.apply_listing(offset(0), entry(&teller, 1, 9), at(20));
     assert_eq!(started.usable_count(SERVICE, at(20)), 0);
     assert_eq!(started.told_departures(0.5, at(30)), told);
 }
@@ -132,7 +138,7 @@
         seen.extend(told);
     }
     assert_eq!(seen.len(), LEAVING as usize, "each is told at some time");
-    table.finish_full_list(LEAVING, |_| false, None, at(600_000));
+    table.finish_full_list(offset(LEAVING), |_| false, None, at(600_000));
     assert!(table.told_departures(0.0, at(600_000)).is_empty());
 }
 
