Take no request after three seconds of a stop that may be cut off

Cause: the plan took half of the grace period for that bound. Change: every request is taken for half of the grace period, but no longer than the platform excuses; after that only what ends before the process. Failed before: host_with_a_long_grace_period_takes_no_request_late_that_it_may_cut_off. Ruled out: deployments with 6 s, for which nothing changes.

--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -387,8 +387,8 @@
         .collect();
 }
 
-/// Applies the retry grants of an answer to a report that was sent at `report_sent_at`, unless those
-/// in force are newer.
+/// Applies the retry grants of an answer to a report that was sent at `report_sent_at`, unless
+/// those in force are newer.
 pub(crate) fn apply_retry_grants(
     context: &EdgeContext,
     answer: &HubAnswer,
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -228,8 +228,9 @@
 
     /// Whether an entry of the same start, read at `offset`, may make the instance present.
     ///
-    /// An entry from before the removal does not. The copy that a store came back from may list an instance that is gone. Only a second entry
-    /// in that era, with a higher `seq`, shows that the instance still writes.
+    /// An entry from before the removal does not. The copy that a store came back from may list an
+    /// instance that is gone. Only a second entry in that era, with a higher `seq`, shows that the
+    /// instance still writes.
     pub(crate) fn may_return(&mut self, offset: StoreOffset, seq: u64) -> bool {
         let era = offset.era;
         if self.presence != Presence::Gone {
--- a/crates/policy/src/retry_budget.rs
+++ b/crates/policy/src/retry_budget.rs
@@ -1,7 +1,9 @@
-//! Retries and hedged requests of one host for one service.
+//! Balance of one host's own part of the retry budget of a service, and counts of
+//! its retries.
 //!
-//! While a hub assigns a share of the fleet's retry pool, that share decides.
-//! Without a hub, the host uses its own part: the fleet's budget in each window
+//! A [`RetryAccount`](crate::RetryAccount) decides first whether a hub's grant
+//! allows a retry; the share of the fleet's retry pool then spreads the granted
+//! ones. Without a hub, the host uses its own part: the fleet's budget in each window
 //! is a ratio of the requests plus a fixed number, the slack. Each host deposits
 //! the ratio for its own requests and accumulates at most its part of the slack,
 //! so the sum over hosts that cannot reach each other is bounded too.
--- a/crates/policy/src/retry_pool.rs
+++ b/crates/policy/src/retry_pool.rs
@@ -5,7 +5,8 @@
 //! retries to spare. Hubs therefore limit retries like the requests of a
 //! workspace: hosts report the retries that they sent and denied, and the
 //! limiter assigns the share of retries that they may send, which is one as long
-//! as the window has room.
+//! as the window has room. The share follows what was counted, so it only spreads
+//! the retries; the grants of the hub's ledger bound them.
 //!
 //! The limiter's window is half as long as the platform's, so each has half of
 //! the slack. Half of that remains for late reports and for hosts that follow no
--- a/crates/policy/src/stop_plan.rs
+++ b/crates/policy/src/stop_plan.rs
@@ -1,11 +1,13 @@
 //! Plan of a planned stop: what a stopping host still takes, and when it ends.
 //!
 //! A request that was taken is finished, so a stopping host takes only what it
-//! can finish. In the first half of the grace period it takes every request;
-//! those have at least the other half. After that it takes a request only if the
-//! caller's deadline comes before the end of the process, and accepts no new
-//! connection, so that callers go to another host. The process ends as late as its supervisor allows,
-//! because the silence of an instance is no reason to give up its response.
+//! can finish. In the first half of the grace period, and no longer than the
+//! platform excuses a late response, it takes every request; those have at least
+//! the other half. After that it takes a request only if the caller's deadline
+//! comes before the end of the process. In the second half it accepts no new
+//! connection, so that callers go to another host. The process ends as late as
+//! its supervisor allows, because the silence of an instance is no reason to give
+//! up its response.
 
 /// Milliseconds kept free before the end of the grace period, in which the process exits.
 ///
@@ -13,6 +15,10 @@
 /// callers whose cached addresses expire at that time.
 const MARGIN_MS: u64 = 250;
 
+/// Milliseconds after the stop signal up to which the platform excuses a request that is cut off
+/// because its instance was still at work at the end.
+const EXCUSED_SEND_MS: u64 = 3_000;
+
 /// Milliseconds before the end of the process at which idle connections are closed, and up to
 /// which a response must be ready so that it can be written.
 const WRITE_MS: u64 = 150;
@@ -31,7 +37,8 @@
 
     /// Until when every request is taken.
     pub fn take_all_ms(self) -> u64 {
-        (self.grace_ms / 2).saturating_sub(MARGIN_MS)
+        let until_ms = (self.grace_ms / 2).min(EXCUSED_SEND_MS);
+        until_ms.saturating_sub(MARGIN_MS)
     }
 
     /// When the listener is closed.
--- a/crates/policy/tests/stop_plan.rs
+++ b/crates/policy/tests/stop_plan.rs
@@ -22,6 +22,16 @@
     assert_eq!(plan.admits(elapsed_ms, budget_ms), expected);
 }
 
+/// Guards against requests that a host with a long grace period takes so late that their cut is not
+/// excused.
+#[test]
+fn host_with_a_long_grace_period_takes_no_request_late_that_it_may_cut_off() {
+    let plan = StopPlan::new(10_000);
+    assert!(plan.admits(2_500, 10_000));
+    assert!(!plan.admits(3_500, 6_500));
+    assert!(plan.admits(3_500, 6_000));
+}
+
 proptest! {
     /// Guards against requests that are cut off because they were taken too late.
     #[test]
