Read a closing socket until the kernel holds nothing for it

What callers saw: connections that waited to be accepted, and requests that had arrived on idle connections, reset or closed without a response when a host that stops had not run for 10 ms just then.

Cause: the last reading of a socket ended by a time on the wall clock. A process that stands still for longer (a busy machine, a throttled core, a frozen process) finds the time over and the connections still there. Besides, the runtime's `timeout` polls its two sides in random order, so an accept or a read that had completed in the same round as the timer was dropped with its connection or its bytes in half of the cases.

Class: a queue is drained by time instead of until it is empty.

Ruled out: the accept dropped in the first `select`, which polls the accept first and registers it with the driver only when the kernel has none.

Why it works: after the same 10 ms, which cover what is on its way, the listener is accepted from until the kernel has no connection for it, at most as many as can wait, and closed without a wait in between. An idle connection is read as long as the kernel holds bytes of it, at most 16 times. What has completed is polled before the timer.

--- a/crates/transport/src/connect.rs
+++ b/crates/transport/src/connect.rs
@@ -12,7 +12,7 @@
 use crate::TransportError;
 
 /// Most connections that wait to be accepted on one listening socket.
-const LISTEN_BACKLOG: i32 = 1_024;
+pub(crate) const LISTEN_BACKLOG: i32 = 1_024;
 
 /// Milliseconds that sent bytes may stay unacknowledged before the kernel closes the connection.
 ///
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -3,19 +3,22 @@
 use std::convert::Infallible;
 use std::error::Error;
 use std::future::Future;
+use std::future::poll_fn;
+use std::io;
+use std::mem;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
-use std::time::Instant;
 
 use bytes::Bytes;
 use compio::net::TcpListener;
 use compio::net::TcpStream;
-use compio::time::timeout;
-use compio::time::timeout_at;
+use compio::time::sleep;
 use cyper_core::CompioTimer;
 use cyper_core::HyperStream;
+use futures_util::FutureExt;
 use futures_util::future::Either;
 use futures_util::future::select;
 use hyper::Request;
@@ -24,22 +27,33 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::net::RecvFlags;
+use rustix::net::recv;
 
 use crate::ServerStop;
+use crate::connect::LISTEN_BACKLOG;
 use crate::connect::close_when_unacknowledged;
 
 /// Milliseconds for which a socket is still read after it was told to close.
 ///
-/// The kernel resets a socket that is closed with connections or bytes that
-/// nobody has read, and the caller then cannot tell whether its request ran.
+/// Afterwards the socket is closed only once the kernel holds nothing for it:
+/// it resets a socket that is closed with connections or bytes that nobody has
+/// read, and the caller then cannot tell whether its request ran.
 const LAST_READ_MS: u64 = 10;
 
+/// Maximum number of times that the runtime is left to read the bytes which wait on a connection
+/// that was told to close.
+///
+/// Bytes that still wait then belong to a request in progress.
+const MAX_LAST_READS: usize = 16;
+
 /// Serves every accepted connection with `handler`, and accepts connections until `stop` closes
 /// the listener.
 ///
-/// When `stop` closes the connections, each of them finishes its current
-/// request first. While `max_connections` are open, each further one is closed
-/// as soon as it is accepted.
+/// Connections that wait to be accepted at that time are served as well. When
+/// `stop` closes the connections, each of them finishes its current request
+/// first. While `max_connections` are open, each further one is closed as soon
+/// as it is accepted.
 pub async fn serve_http<H, F, B>(
     listener: TcpListener,
     stop: ServerStop,
@@ -52,29 +66,12 @@
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let handler = Rc::new(handler);
-    let mut closes_at = None;
-    loop {
-        let accepted = match closes_at {
-            None => {
-                let accept = pin!(listener.accept());
-                match select(accept, stop.listener_closed.raised()).await {
-                    Either::Left((accepted, _)) => accepted,
-                    Either::Right(_) => {
-                        closes_at = Some(Instant::now() + Duration::from_millis(LAST_READ_MS));
-                        continue;
-                    }
-                }
-            }
-            Some(closes_at) => match timeout_at(closes_at, listener.accept()).await {
-                Ok(accepted) => accepted,
-                Err(_) => return,
-            },
-        };
+    let serve = |accepted: io::Result<(TcpStream, SocketAddr)>| {
         let Ok((stream, address)) = accepted else {
-            continue;
+            return;
         };
         if stop.open_connections() >= max_connections {
-            continue;
+            return;
         }
         let guard = stop.register_connection();
         let served = serve_connection(stream, address, stop.clone(), Rc::clone(&handler));
@@ -83,6 +80,33 @@
             drop(guard);
         };
         compio::runtime::spawn(task).detach();
+    };
+    accept_until(&listener, stop.listener_closed.raised(), serve).await;
+    let last_read = pin!(sleep(Duration::from_millis(LAST_READ_MS)));
+    accept_until(&listener, last_read, serve).await;
+    // No more than these can have waited, so callers that go on connecting cannot keep it open.
+    for _ in 0..=LISTEN_BACKLOG {
+        // The operation asks the kernel when it is first polled.
+        let Some(accepted) = listener.accept().now_or_never() else {
+            return;
+        };
+        serve(accepted);
+    }
+}
+
+/// Passes accepted connections to `serve` until `end` completes and no connection waits.
+async fn accept_until(
+    listener: &TcpListener,
+    mut end: impl Future<Output = ()> + Unpin,
+    serve: impl Fn(io::Result<(TcpStream, SocketAddr)>),
+) {
+    loop {
+        let accept = pin!(listener.accept());
+        // An accepted connection comes first, because it would be reset with the operation.
+        match select(accept, &mut end).await {
+            Either::Left((accepted, _)) => serve(accepted),
+            Either::Right(_) => return,
+        }
     }
 }
 
@@ -104,6 +128,7 @@
         let handler = Rc::clone(&handler);
         async move { Ok::<_, Infallible>(handler(address, request).await) }
     });
+    let socket = stream.clone();
     let connection = http1::Builder::new()
         .timer(CompioTimer)
         .serve_connection(HyperStream::new_plain(stream), service);
@@ -111,9 +136,39 @@
     if let Either::Left(_) = select(connection.as_mut(), stop.connections_closed.raised()).await {
         return;
     }
-    let last_read = Duration::from_millis(LAST_READ_MS);
-    if timeout(last_read, connection.as_mut()).await.is_err() {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    let last_read = pin!(sleep(Duration::from_millis(LAST_READ_MS)));
+    if let Either::Left(_) = select(connection.as_mut(), last_read).await {
+        return;
     }
+    for _ in 0..MAX_LAST_READS {
+        if !has_unread_bytes(&socket) {
+            break;
+        }
+        if let Either::Left(_) = select(connection.as_mut(), pin!(read_round())).await {
+            return;
+        }
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// Whether the kernel holds bytes of `stream` that were not read.
+fn has_unread_bytes(stream: &TcpStream) -> bool {
+    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+    stream
+        .to_poll_fd()
+        .is_ok_and(|socket| matches!(recv(&socket, &mut [0], flags), Ok((1.., _))))
+}
+
+/// Lets the runtime read once what has arrived on its sockets.
+async fn read_round() {
+    let mut is_over = false;
+    poll_fn(|cx| {
+        if mem::replace(&mut is_over, true) {
+            return Poll::Ready(());
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
 }
--- a/crates/transport/tests/server_stop.rs
+++ b/crates/transport/tests/server_stop.rs
@@ -23,6 +23,9 @@
 /// Milliseconds in which the server handles all that it has.
 const SETTLE_MS: u64 = 300;
 
+/// Milliseconds for which the process does not run.
+const STANDSTILL_MS: u64 = 50;
+
 /// Server whose responses take some milliseconds.
 struct SlowServer {
     address: SocketAddr,
@@ -140,3 +143,52 @@
         assert_eq!(server.stop.open_connections(), 0);
     });
 }
+
+/// Guards against a reset of connections that arrive while the process does not run for longer
+/// than the listener is still read.
+#[test]
+fn closing_the_listener_serves_connections_that_arrive_while_the_process_stands_still() {
+    const CONNECTIONS: usize = 20;
+    run(async {
+        let server = SlowServer::start(0).await;
+        server.stop.close_listener();
+        sleep(Duration::from_millis(1)).await;
+        let mut callers: Vec<TcpStream> = (0..CONNECTIONS).map(|_| server.connect()).collect();
+        for caller in &mut callers {
+            caller.write_all(REQUEST).unwrap();
+        }
+        std::thread::sleep(Duration::from_millis(STANDSTILL_MS));
+        sleep(Duration::from_millis(SETTLE_MS)).await;
+        assert_eq!(server.read_requests.get(), CONNECTIONS);
+        server.stop.close_connections();
+        sleep(Duration::from_millis(SETTLE_MS)).await;
+        for caller in callers {
+            assert!(read_to_end(caller).ends_with(RESPONSE_BODY));
+        }
+        assert_eq!(server.stop.open_connections(), 0);
+    });
+}
+
+/// Guards against a closed connection under a request that arrives while the process does not run
+/// for longer than an idle connection is still read.
+#[test]
+fn closing_the_connections_serves_requests_that_arrive_while_the_process_stands_still() {
+    const CONNECTIONS: usize = 20;
+    run(async {
+        let server = SlowServer::start(0).await;
+        let mut callers: Vec<TcpStream> = (0..CONNECTIONS).map(|_| server.connect()).collect();
+        sleep(Duration::from_millis(SETTLE_MS)).await;
+        server.stop.close_connections();
+        sleep(Duration::from_millis(1)).await;
+        for caller in &mut callers {
+            caller.write_all(REQUEST).unwrap();
+        }
+        std::thread::sleep(Duration::from_millis(STANDSTILL_MS));
+        sleep(Duration::from_millis(SETTLE_MS)).await;
+        assert_eq!(server.read_requests.get(), CONNECTIONS);
+        for caller in callers {
+            assert!(read_to_end(caller).ends_with(RESPONSE_BODY));
+        }
+        assert_eq!(server.stop.open_connections(), 0);
+    });
+}
