Remove an instance although an earlier start of it is named as gone

What callers saw: in the model of the store's eras, a restarted host went on using an instance that every other host knew to be gone (437, 513 and others).

Cause: a whole list also names the instances that left last. Their ids counted as listed, so that a later start of the same id, which the list lacks, was not removed.

Change: only entries of instances that are present count as listed.

The new test fails without the change.

--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -397,8 +397,10 @@
             } else {
                 self.apply_relayed(offset, listing, presence, now)
             };
-            changes.push((id.clone(), change));
-            ids.insert(id);
+            if presence != Presence::Gone {
+                ids.insert(id.clone());
+            }
+            changes.push((id, change));
         }
         if is_outdated {
             self.record_merged(own.era);
