Add no instance from an answer of a host that is behind

What callers saw: in the model of the store's eras, a host that had just read the list used an instance that had left before (499 and others).

Cause: a host that starts asks its hub for every change of the era. A hub that was away for a moment answers with instances that it still lists, and the host added them to its own newer list, which nothing removes them from again.

Change: an instance that the own list lacks is added only from an entry beyond that list, or in place of an earlier start that is still listed. Departures are applied as before.

The new test fails without the change.

--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -269,7 +269,8 @@
 
     /// Applies an entry that another host relayed.
     ///
-    /// Of an entry of an earlier era than this list, only a departure is applied.
+    /// Of an entry of an earlier era than this list, only a departure is applied. An instance that
+    /// this list lacks although it is read beyond `offset` has left, and the other host is behind.
     pub fn apply_relayed(
         &mut self,
         offset: StoreOffset,
@@ -280,6 +281,10 @@
         if offset.era < self.next_offset.era {
             return self.merge_departure(listing, presence, now);
         }
+        let is_present = presence != Presence::Gone && !listing.leaving;
+        if is_present && self.lists_no_start(&listing) && self.has_applied(offset) {
+            return ListingChange::Unchanged;
+        }
         if let Some(key) = self.index.find_id(&listing.id) {
             let state = &self.instances[key];
             let is_same_start = state.listing.started_at_unix_ms == listing.started_at_unix_ms;
@@ -316,6 +321,22 @@
         change
     }
 
+    /// Whether this list has no start of the instance in `listing`, or an earlier one that is gone.
+    fn lists_no_start(&self, listing: &InstanceListing) -> bool {
+        let key = self.index.find_id(&listing.id);
+        key.is_none_or(|key| {
+            let state = &self.instances[key];
+            state.presence == Presence::Gone
+                && state.listing.started_at_unix_ms < listing.started_at_unix_ms
+        })
+    }
+
+    /// Whether the entry at `offset` was applied.
+    fn has_applied(&self, offset: StoreOffset) -> bool {
+        let next = self.next_offset;
+        offset.era == next.era && next.supersedes(offset)
+    }
+
     /// Applies what another host's entry says of the departure of an instance, unless a newer
     /// entry is known. Its other content is ignored, because this list is newer.
     ///
--- a/crates/policy/tests/merged_listings.rs
+++ b/crates/policy/tests/merged_listings.rs
@@ -52,3 +52,15 @@
     assert!(is_whole);
     assert_eq!(host.usable_count(SERVICE, at(100)), 0);
 }
+
+// Guards against a hub that is behind and makes a host list an instance that left before the host
+// started.
+#[test]
+fn answer_of_a_hub_that_is_behind_adds_no_instance() {
+    let mut host = InstanceTable::default();
+    host.finish_full_list(offset(2, 9), |_| true, None, at(0));
+    host.apply_relayed(offset(2, 4), entry(1, 3), Presence::Listed, at(100));
+    assert_eq!(host.usable_count(SERVICE, at(100)), 0);
+    host.apply_relayed(offset(2, 9), entry(1, 4), Presence::Listed, at(200));
+    assert_eq!(host.usable_count(SERVICE, at(200)), 1, "it is newer");
+}
