End a stop only once the listener is closed

What callers saw: connections that waited to be accepted were reset when a stopping host ended its process.

Cause: both hosts ended their stop when no connection was open. A connection that waits to be accepted isn't open yet, and the listener is still read for some time after the stop closes it.

`ServerStop::has_ended` counts the listener too.

--- a/crates/daemon/src/planned_stop.rs
+++ b/crates/daemon/src/planned_stop.rs
@@ -50,9 +50,7 @@
     sleep(Duration::from_millis(LAST_REQUEST_MS)).await;
     context.stop.close_connections();
     let drain_started_at = ClockTime::now();
-    while context.stop.open_connections() > 0
-        && ClockTime::now().since(drain_started_at) < MAX_DRAIN_MS
-    {
+    while !context.stop.has_ended() && ClockTime::now().since(drain_started_at) < MAX_DRAIN_MS {
         sleep(Duration::from_millis(DRAIN_CHECK_MS)).await;
     }
     info!(context.logger, "stopped"; "connections_left" => context.stop.open_connections());
--- a/crates/edge/src/graceful_stop.rs
+++ b/crates/edge/src/graceful_stop.rs
@@ -30,17 +30,15 @@
         "in_progress" => context.in_progress.len());
     sleep_until(started_at.plus(plan.close_listener_ms())).await;
     context.stop.close_listener();
-    // The listener is read once more before it closes.
-    sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
-    wait_for_connections(context, started_at.plus(plan.close_idle_ms())).await;
+    wait_for_end(context, started_at.plus(plan.close_idle_ms())).await;
     context.stop.close_connections();
-    wait_for_connections(context, started_at.plus(plan.end_ms())).await;
+    wait_for_end(context, started_at.plus(plan.end_ms())).await;
     log_end(context, started_at);
 }
 
-/// Waits until no connection is open, at the longest until `deadline`.
-async fn wait_for_connections(context: &EdgeContext, deadline: ClockTime) {
-    while context.stop.open_connections() > 0 && ClockTime::now() < deadline {
+/// Waits until the listener and every connection are closed, at the longest until `deadline`.
+async fn wait_for_end(context: &EdgeContext, deadline: ClockTime) {
+    while !context.stop.has_ended() && ClockTime::now() < deadline {
         let next_check = ClockTime::now().plus(CHECK_INTERVAL_MS);
         sleep_until(next_check.min(deadline)).await;
     }
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -18,7 +18,6 @@
 use compio::time::sleep;
 use cyper_core::CompioTimer;
 use cyper_core::HyperStream;
-use futures_util::FutureExt;
 use futures_util::future::Either;
 use futures_util::future::select;
 use hyper::Request;
@@ -27,7 +26,10 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::io::Errno;
 use rustix::net::RecvFlags;
+use rustix::net::SocketFlags;
+use rustix::net::accept_with;
 use rustix::net::recv;
 
 use crate::ServerStop;
@@ -65,6 +67,7 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
+    let listener_guard = stop.register_listener();
     let handler = Rc::new(handler);
     let serve = |accepted: io::Result<(TcpStream, SocketAddr)>| {
         let Ok((stream, address)) = accepted else {
@@ -84,14 +87,30 @@
     accept_until(&listener, stop.listener_closed.raised(), serve).await;
     let last_read = pin!(sleep(Duration::from_millis(LAST_READ_MS)));
     accept_until(&listener, last_read, serve).await;
+    // A dropped operation keeps the socket open until the next round of the runtime.
+    runtime_round().await;
     // No more than these can have waited, so callers that go on connecting cannot keep it open.
     for _ in 0..=LISTEN_BACKLOG {
-        // The operation asks the kernel when it is first polled.
-        let Some(accepted) = listener.accept().now_or_never() else {
-            return;
+        let Some(accepted) = accept_waiting(&listener) else {
+            break;
         };
         serve(accepted);
     }
+    drop(listener);
+    drop(listener_guard);
+}
+
+/// Accepts a connection that waits, `None` if the kernel has none.
+fn accept_waiting(listener: &TcpListener) -> Option<io::Result<(TcpStream, SocketAddr)>> {
+    let stream = match accept_with(listener, SocketFlags::CLOEXEC) {
+        Ok(socket) => std::net::TcpStream::from(socket),
+        Err(Errno::AGAIN) => return None,
+        Err(error) => return Some(Err(error.into())),
+    };
+    let accepted = stream
+        .peer_addr()
+        .and_then(|address| Ok((TcpStream::from_std(stream)?, address)));
+    Some(accepted)
 }
 
 /// Passes accepted connections to `serve` until `end` completes and no connection waits.
@@ -144,7 +163,7 @@
         if !has_unread_bytes(&socket) {
             break;
         }
-        if let Either::Left(_) = select(connection.as_mut(), pin!(read_round())).await {
+        if let Either::Left(_) = select(connection.as_mut(), pin!(runtime_round())).await {
             return;
         }
     }
@@ -155,13 +174,11 @@
 /// Whether the kernel holds bytes of `stream` that were not read.
 fn has_unread_bytes(stream: &TcpStream) -> bool {
     let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-    stream
-        .to_poll_fd()
-        .is_ok_and(|socket| matches!(recv(&socket, &mut [0], flags), Ok((1.., _))))
+    matches!(recv(stream, &mut [0], flags), Ok((1.., _)))
 }
 
-/// Lets the runtime read once what has arrived on its sockets.
-async fn read_round() {
+/// Lets the runtime finish once what it can on its sockets.
+async fn runtime_round() {
     let mut is_over = false;
     poll_fn(|cx| {
         if mem::replace(&mut is_over, true) {
--- a/crates/transport/src/server_stop.rs
+++ b/crates/transport/src/server_stop.rs
@@ -1,4 +1,4 @@
-//! Stop of a server in two steps, and the count of its open connections.
+//! Stop of a server in two steps, and the count of its open sockets.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -13,12 +13,13 @@
 pub struct ServerStop {
     pub(crate) listener_closed: StopSignal,
     pub(crate) connections_closed: StopSignal,
+    open_listeners: Rc<Cell<usize>>,
     open_connections: Rc<Cell<usize>>,
 }
 
-/// Guard that counts a connection as open until it is dropped.
+/// Guard that counts a socket as open until it is dropped.
 #[derive(Debug)]
-pub(crate) struct ConnectionGuard(Rc<Cell<usize>>);
+pub(crate) struct SocketGuard(Rc<Cell<usize>>);
 
 impl ServerStop {
     /// Ends the acceptance of connections and closes the listening socket.
@@ -38,15 +39,30 @@
         self.open_connections.get()
     }
 
+    /// Whether the listening socket and every connection are closed.
+    pub fn has_ended(&self) -> bool {
+        self.open_listeners.get() == 0 && self.open_connections() == 0
+    }
+
+    /// Counts one more open listener until the guard is dropped.
+    pub(crate) fn register_listener(&self) -> SocketGuard {
+        SocketGuard::new(&self.open_listeners)
+    }
+
     /// Counts one more open connection until the guard is dropped.
-    pub(crate) fn register_connection(&self) -> ConnectionGuard {
-        let count = &self.open_connections;
+    pub(crate) fn register_connection(&self) -> SocketGuard {
+        SocketGuard::new(&self.open_connections)
+    }
+}
+
+impl SocketGuard {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
         count.set(count.get() + 1);
-        ConnectionGuard(Rc::clone(count))
+        SocketGuard(Rc::clone(count))
     }
 }
 
-impl Drop for ConnectionGuard {
+impl Drop for SocketGuard {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
--- a/crates/transport/tests/server_stop.rs
+++ b/crates/transport/tests/server_stop.rs
@@ -192,3 +192,28 @@
         assert_eq!(server.stop.open_connections(), 0);
     });
 }
+
+/// Guards against a stop that ends the process while connections wait to be accepted.
+#[test]
+fn a_server_has_not_ended_before_its_listener_is_closed() {
+    const CONNECTIONS: usize = 20;
+    run(async {
+        let server = SlowServer::start(0).await;
+        server.stop.close_listener();
+        sleep(Duration::from_millis(1)).await;
+        let mut callers: Vec<TcpStream> = (0..CONNECTIONS).map(|_| server.connect()).collect();
+        for caller in &mut callers {
+            caller.write_all(REQUEST).unwrap();
+        }
+        std::thread::sleep(Duration::from_millis(STANDSTILL_MS));
+        server.stop.close_connections();
+        while !server.stop.has_ended() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(server.read_requests.get(), CONNECTIONS);
+        assert!(TcpStream::connect(server.address).is_err());
+        for caller in callers {
+            assert!(read_to_end(caller).ends_with(RESPONSE_BODY));
+        }
+    });
+}
