Let a refusal reach a caller whose body still arrives

What callers saw: a request refused before its body had arrived (limit, key, route, stopping host, body too large) ended with a reset, and the refusal could be lost with it. A caller that gets a reset in place of a 429 or 503 doesn't know that its request did not run.

Cause: once a response is written, the server closes a connection whose request has unread body. What arrives afterwards makes the kernel reset it. The response didn't say `close` either.

Class: a socket is closed without a last look at what arrives on it.

The host reads the rest of a refused body if it is short and there within 20 ms; otherwise its response says `close`, so that the caller sends nothing more that would be thrown away.

--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use compio::time::timeout;
 use compio::time::timeout_at;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -20,8 +21,10 @@
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::header::CONNECTION;
+use hyper::header::EXPECT;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
 
 use crocushoist_platform::names;
 use crocushoist_policy::AdmissionRank;
@@ -75,7 +78,16 @@
     record.config_version = context.config_version();
     record.evidence_age = context.evidence.borrow().age(ClockTime::now());
     let progress = context.in_progress.add(record.id.clone(), ClockTime::now());
-    let served = serve_request(&context, request, arrived_at, &progress, &mut record).await;
+    let (head, mut body) = request.into_parts();
+    let served = serve_request(
+        &context,
+        &head,
+        &mut body,
+        arrived_at,
+        &progress,
+        &mut record,
+    )
+    .await;
     let millis = arrived_at.elapsed().as_millis() as u64;
     let (outcome, mut response) = match served {
         Ok(response) => ("answered", response),
@@ -88,7 +100,7 @@
     let status = response.status().as_u16();
     count_for_service(&context, &record, response.status());
     record.log_end(&context.logger, outcome, status, millis, rand::random());
-    if context.is_stopping() {
+    if context.is_stopping() || !discard_rest(&head.headers, body).await {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -98,12 +110,12 @@
 /// Checks and forwards the request. Returns the response of an instance, or why there is none.
 async fn serve_request(
     context: &SharedContext,
-    request: Request<Incoming>,
+    head: &Parts,
+    body: &mut Incoming,
     arrived_at: Instant,
     progress: &ProgressGuard,
     record: &mut RequestRecord,
 ) -> Result<Response<ResponseBody>, EdgeRefusal> {
-    let (head, body) = request.into_parts();
     let config = context.config().ok_or(EdgeRefusal::with_retry_after(
         EdgeReason::NoConfig,
         NO_CONFIG_RETRY_DELAY_MS,
@@ -333,7 +345,7 @@
 
 /// Reads the whole body, up to the size limit and until the deadline.
 async fn read_body(
-    body: Incoming,
+    body: &mut Incoming,
     config: &DeploymentConfig,
     deadline: Instant,
 ) -> Result<Bytes, EdgeRefusal> {
@@ -354,6 +366,23 @@
     }
 }
 
+/// Reads what is left of the body of a request that has its response. Returns whether the
+/// connection can be used again, which needs that the rest is short and arrives soon.
+async fn discard_rest(headers: &HeaderMap, body: Incoming) -> bool {
+    const MAX_REST_BYTES: u64 = 64 * 1024;
+    const MAX_REST_MS: u64 = 20;
+    if body.is_end_stream() {
+        return true;
+    }
+    // Reading would ask the caller for a body that nobody needs.
+    if headers.contains_key(EXPECT) || body.size_hint().lower() > MAX_REST_BYTES {
+        return false;
+    }
+    let rest = Limited::new(body, MAX_REST_BYTES as usize).collect();
+    let read = timeout(Duration::from_millis(MAX_REST_MS), rest).await;
+    matches!(read, Ok(Ok(_)))
+}
+
 /// Key in the `Authorization` header.
 fn presented_key(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
--- a/crates/transport/tests/server_stop.rs
+++ b/crates/transport/tests/server_stop.rs
@@ -217,3 +217,52 @@
         }
     });
 }
+
+/// Reads what the server sends until it closes the connection, and says how that ended.
+fn read_until_closed(mut stream: &TcpStream) -> (String, std::io::Result<()>) {
+    let mut bytes = Vec::new();
+    let end = stream.read_to_end(&mut bytes).map(drop);
+    (String::from_utf8_lossy(&bytes).into_owned(), end)
+}
+
+/// Guards against a response that is lost with a reset, because the rest of the body arrives
+/// after the connection was closed.
+#[test]
+fn a_response_to_a_request_whose_body_still_arrives_reaches_the_caller() {
+    run(async {
+        let server = SlowServer::start(0).await;
+        let mut caller = server.connect();
+        caller
+            .write_all(b"POST / HTTP/1.1\r\nhost: server\r\ncontent-length: 300000\r\n\r\n")
+            .unwrap();
+        sleep(Duration::from_millis(SETTLE_MS)).await;
+        // The server has answered without the body.
+        for _ in 0..3 {
+            caller.write_all(&[b'x'; 100_000]).unwrap();
+            sleep(Duration::from_millis(20)).await;
+        }
+        let (text, end) = read_until_closed(&caller);
+        assert!(text.ends_with(RESPONSE_BODY), "{text}");
+        assert!(end.is_ok(), "{end:?}");
+        drop(caller);
+        sleep(Duration::from_millis(SETTLE_MS)).await;
+        assert_eq!(server.stop.open_connections(), 0);
+    });
+}
+
+/// Guards against connections that stay open because their caller goes on sending.
+#[test]
+fn a_caller_that_sends_without_end_is_closed_after_a_while() {
+    run(async {
+        let server = SlowServer::start(0).await;
+        let mut caller = server.connect();
+        caller
+            .write_all(b"POST / HTTP/1.1\r\nhost: server\r\ntransfer-encoding: chunked\r\n\r\n")
+            .unwrap();
+        for _ in 0..40 {
+            let _ = caller.write_all(b"1\r\nx\r\n");
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(server.stop.open_connections(), 0);
+    });
+}
