Keep idle connections for as long as the operators allow

What callers saw: with an idle limit above 37.5 s, callers reuse a connection that the host closes after 30 s, and a request that crosses the close is lost.

Cause: the HTTP library's time limit for a request head, 30 s, also ends idle connections; the operators' limit was read and never used.

Ruled out: a request that has arrived when the limit passes. It is read before the timer is looked at.

Change: the limit of a connection is the operators' when it is accepted, 30 s at least, and 5 min if it isn't known yet.

Not covered: connections accepted before the operators raise the limit.

--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -27,6 +27,7 @@
 use crocushoist_transport::TransportError;
 use crocushoist_transport::listen_on;
 use crocushoist_transport::serve_http;
+use crocushoist_transport::serve_http_with_idle_limit;
 
 use crate::address_handler::answer_addresses;
 use crate::address_handler::answer_readiness;
@@ -48,6 +49,13 @@
 /// Maximum open connections of callers; a third of the file descriptors that a host may have.
 const MAX_CALLER_CONNECTIONS: usize = 1_300;
 
+/// Milliseconds for which an idle connection is kept at least, whatever the operators' limit is.
+const MIN_IDLE_LIMIT_MS: u64 = 30_000;
+
+/// Milliseconds for which an idle connection is kept that was accepted before the operators' limit
+/// was known.
+const UNKNOWN_IDLE_LIMIT_MS: u64 = 300_000;
+
 /// Maximum open connections on each auxiliary address.
 const MAX_AUXILIARY_CONNECTIONS: usize = 400;
 
@@ -135,11 +143,13 @@
             move |_, request| handle_auxiliary_request(Rc::clone(&shared), request),
         ));
     }
+    let limit_context = Rc::clone(&context);
     let shared = Rc::clone(&context);
-    spawn(serve_http(
+    spawn(serve_http_with_idle_limit(
         callers,
         context.stop.clone(),
         MAX_CALLER_CONNECTIONS,
+        move || idle_limit_ms(&limit_context),
         move |_, request| handle_request(Rc::clone(&shared), request),
     ));
     stop.received().await.map_err(EdgeError::Signal)?;
@@ -148,6 +158,13 @@
     Ok(())
 }
 
+/// Milliseconds after which an idle connection of a caller is closed.
+fn idle_limit_ms(context: &EdgeContext) -> u64 {
+    context.config().map_or(UNKNOWN_IDLE_LIMIT_MS, |config| {
+        config.limits.idle_timeout_ms.max(MIN_IDLE_LIMIT_MS)
+    })
+}
+
 /// Serves readiness checks, address lookups and metrics.
 async fn handle_auxiliary_request(
     context: SharedContext,
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -64,6 +64,9 @@
 /// Size in bytes of the buffer for what is thrown away.
 const REST_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Milliseconds after which an idle connection is closed, unless the server has another limit.
+const DEFAULT_IDLE_MS: u64 = 30_000;
+
 /// Serves every accepted connection with `handler`, and accepts connections until `stop` closes
 /// the listener.
 ///
@@ -81,6 +84,23 @@
     F: Future<Output = Response<B>> + 'static,
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    serve_http_with_idle_limit(listener, stop, max_connections, || DEFAULT_IDLE_MS, handler).await;
+}
+
+/// Serves like [`serve_http`], and closes a connection that has been idle for the milliseconds
+/// that `idle_limit_ms` returned when it was accepted.
+pub async fn serve_http_with_idle_limit<H, F, B>(
+    listener: TcpListener,
+    stop: ServerStop,
+    max_connections: usize,
+    idle_limit_ms: impl Fn() -> u64,
+    handler: H,
+) where
+    H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let listener_guard = stop.register_listener();
     let handler = Rc::new(handler);
@@ -92,7 +112,9 @@
             return;
         }
         let guard = stop.register_connection();
-        let served = serve_connection(stream, address, stop.clone(), Rc::clone(&handler));
+        let idle_limit = Duration::from_millis(idle_limit_ms());
+        let handler = Rc::clone(&handler);
+        let served = serve_connection(stream, address, stop.clone(), idle_limit, handler);
         let task = async move {
             served.await;
             drop(guard);
@@ -148,6 +170,7 @@
     stream: TcpStream,
     address: SocketAddr,
     stop: ServerStop,
+    idle_limit: Duration,
     handler: Rc<H>,
 ) where
     H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
@@ -167,6 +190,7 @@
     });
     let connection = http1::Builder::new()
         .timer(CompioTimer)
+        .header_read_timeout(idle_limit)
         .serve_connection(HyperStream::new_plain(stream.clone()), service);
     let end = run_connection(connection, &stream, &stop).await;
     if end == ConnectionEnd::Response && last_has_body.get() {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -30,6 +30,7 @@
 pub use http_client::HttpClient;
 pub use http_client::HttpResponse;
 pub use http_server::serve_http;
+pub use http_server::serve_http_with_idle_limit;
 pub use metered_stream::MeteredStream;
 pub use peer_connection::PeerConnection;
 pub use peer_connection::serve_peers;
