--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -418,6 +418,7 @@
         service: SERVICE,
         timeout_ms: route_timeout_ms(mode),
         workspaces,
+        version_key: None,
     }
 }
 
