Play notices of instances and restores of the store in the soak

The soak played no instance that says that it leaves or that wants no requests, and no store that comes back from an older copy.

Checked from what callers and instances saw: no request sent 2 s after a host passed on that an instance leaves reaches it from that host; not more than two requests reach an instance from half a second after it said that it wants none until the end of that time; restarts, pauses, and for the second also cuts, excuse it. No host applies an older configuration than before within one run of its process, which the name of a workspace shows instances; and no more than 5 + 1 in 500 calls are denied.

Cause: a host that learns late that an instance started anew forgets what this start had already said.

--- a/crates/soak/src/call_history.rs
+++ b/crates/soak/src/call_history.rs
@@ -48,6 +48,8 @@
     pub outcome: CallOutcome,
     /// Whether the host made the response itself.
     pub is_from_host: bool,
+    /// Index of the instance that responded, if it said in the response that it is leaving.
+    pub leaving_instance: Option<usize>,
 }
 
 /// Request that arrived at an instance, which may have rejected it.
@@ -100,6 +102,17 @@
     pub is_planned: bool,
 }
 
+/// Response of an instance that said that it wants no requests from one host for a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldRecord {
+    /// Index of the host.
+    pub host: usize,
+    /// Index of the instance.
+    pub instance: usize,
+    /// From the response until the end of the time, in milliseconds.
+    pub span_ms: Range<u64>,
+}
+
 /// Everything that was recorded during one run.
 #[derive(Clone, Debug, Default)]
 pub struct CallHistory {
@@ -113,8 +126,17 @@
     pub ready_probes: Vec<ReadyProbe>,
     /// Instances whose link was closed, by index, and when, in milliseconds.
     pub instance_cuts: Vec<(usize, Range<u64>)>,
+    /// Times at which the link of an instance, by index, forwarded nothing in one direction at
+    /// least, in milliseconds.
+    pub instance_silences: Vec<(usize, Range<u64>)>,
+    /// Instances that started anew, by index, and when, in milliseconds.
+    pub instance_starts: Vec<(usize, u64)>,
+    /// Responses by which instances said that they want no requests.
+    pub holds: Vec<HoldRecord>,
     /// Outages that the run caused: hosts killed, paused or asked to stop.
     pub outages: Vec<HostOutage>,
+    /// Hosts whose process was started again, by index, and when, in milliseconds.
+    pub host_starts: Vec<(usize, u64)>,
     /// Workspace whose key was revoked, and when, in milliseconds.
     pub revoked_key: Option<(&'static str, u64)>,
     /// Calls sent from this time on, in milliseconds, show whether the fleet recovered.
--- a/crates/soak/src/caller_load.rs
+++ b/crates/soak/src/caller_load.rs
@@ -108,6 +108,7 @@
             deadline_ms: DEADLINE_MS,
             outcome,
             is_from_host,
+            leaving_instance: None,
         });
         if matches!(outcome, CallOutcome::Responded { .. }) {
             idle_client = Some((host, client));
--- a/crates/soak/src/lasting_callers.rs
+++ b/crates/soak/src/lasting_callers.rs
@@ -20,12 +20,14 @@
 
 use crate::CallOutcome;
 use crate::CallRecord;
+use crate::SoakMode;
 use crate::caller_load::workspace_key;
 use crate::promise_check::LIMITED_WORKSPACE;
 use crate::soak_fleet::DATA_CENTRES;
 use crate::soak_fleet::HOST_NAME;
 use crate::soak_fleet::REVOCABLE_WORKSPACE;
 use crate::soak_fleet::SoakFleet;
+use crate::version_check::VERSION_WORKSPACE;
 
 /// Milliseconds that a caller waits for a connection.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -58,6 +60,16 @@
     LIMITED_WORKSPACE,
 ];
 
+/// Workspaces that are assigned to the callers in turn in the drill mode.
+const DRILL_WORKSPACES: [&str; 6] = [
+    "depot",
+    VERSION_WORKSPACE,
+    REVOCABLE_WORKSPACE,
+    "depot",
+    VERSION_WORKSPACE,
+    LIMITED_WORKSPACE,
+];
+
 /// How a caller uses addresses and connections.
 struct CallerHabits {
     /// Milliseconds for which it uses addresses.
@@ -107,11 +119,15 @@
 /// Sends calls as the caller with index `caller_index` until the run is over.
 pub(crate) async fn run_lasting_caller(fleet: Rc<SoakFleet>, seed: u64, caller_index: usize) {
     let caller_seed = seed ^ (caller_index as u64 + 1).wrapping_mul(0x9e37_79b9);
+    let workspaces = match fleet.mode {
+        SoakMode::Single | SoakMode::Series => WORKSPACES,
+        SoakMode::Drill => DRILL_WORKSPACES,
+    };
     let mut caller = LastingCaller {
         index: caller_index,
         rng: ChaCha8Rng::seed_from_u64(caller_seed),
         habits: &HABITS[caller_index % HABITS.len()],
-        workspace: WORKSPACES[caller_index % WORKSPACES.len()],
+        workspace: workspaces[caller_index % workspaces.len()],
         addresses: Vec::new(),
         resolved_ms: 0,
         connection: None,
@@ -151,6 +167,7 @@
             deadline_ms: deadline_ms.min(self.fleet.route_timeout_ms()),
             outcome: CallOutcome::NotConnected,
             is_from_host: false,
+            leaving_instance: None,
         };
         let kept = self.connection.take();
         let mut connection = match kept.filter(CallerConnection::is_usable) {
@@ -186,6 +203,8 @@
         record.is_from_host = response
             .as_ref()
             .is_some_and(|response| !CallerRequest::is_signed(response));
+        let leaving_id = response.as_ref().and_then(CallerRequest::leaving_instance);
+        record.leaving_instance = leaving_id.and_then(|id| self.fleet.instance_index(id));
         if response.is_none() {
             self.avoid_host(connection.address());
         } else if !self.habits.has_new_connections {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,7 +6,9 @@
 //! through proxies that can delay, stall or close a connection, or stop
 //! forwarding in one direction. Callers keep a connection open until a call
 //! on it gets no response. In the series mode, signals, stops and restarts
-//! follow each other and overlap, and more calls are in progress.
+//! follow each other and overlap, and more calls are in progress. The drill
+//! mode adds instances that say that they leave or want no requests, and a
+//! store that comes back from older copies.
 //!
 //! After the faults, the calls that the callers sent are compared with the
 //! requests that the instances executed. Whatever contradicts a guarantee of
@@ -15,8 +17,10 @@
 
 mod call_history;
 mod caller_load;
+mod drill_faults;
 mod lasting_callers;
 mod link_proxy;
+mod notice_check;
 mod promise_check;
 mod series_faults;
 mod soak_error;
@@ -24,12 +28,14 @@
 mod soak_plan;
 mod soak_run;
 mod stop_check;
+mod version_check;
 
 pub use call_history::ArrivalRecord;
 pub use call_history::CallHistory;
 pub use call_history::CallOutcome;
 pub use call_history::CallRecord;
 pub use call_history::ExecutionRecord;
+pub use call_history::HoldRecord;
 pub use call_history::HostOutage;
 pub use call_history::ReadyProbe;
 pub use promise_check::BrokenPromise;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -23,10 +23,10 @@
 /// Default number of callers.
 const CALLERS: usize = 18;
 
-/// Default number of instances in the series mode.
+/// Default number of instances in the series and drill modes.
 const SERIES_INSTANCES: usize = 24;
 
-/// Default number of callers in the series mode.
+/// Default number of callers in the series and drill modes.
 const SERIES_CALLERS: usize = 72;
 
 /// Runs a fleet of host processes under overlapping faults and checks its promises.
@@ -50,8 +50,8 @@
     },
     /// Runs the seeds listed in a file.
     File {
-        /// Seed file: one seed per line, after `series` for that mode, optionally followed by a
-        /// remark; # starts a comment line.
+        /// Seed file: one seed per line, after `series` or `drill` for that mode, optionally
+        /// followed by a remark; # starts a comment line.
         path: PathBuf,
         #[command(flatten)]
         options: RunOptions,
@@ -71,13 +71,17 @@
     /// Sends signals, stops and restarts in series, with callers that keep their connections.
     #[arg(long)]
     series: bool,
+    /// As --series, with instances that leave or want no requests, and a store that comes back
+    /// from older copies.
+    #[arg(long, conflicts_with = "series")]
+    drill: bool,
     /// Number of host processes.
     #[arg(long, default_value_t = 6)]
     hosts: usize,
-    /// Number of instances [default: 6, with --series 24].
+    /// Number of instances [default: 6, with --series or --drill 24].
     #[arg(long)]
     instances: Option<usize>,
-    /// Number of callers [default: 18, with --series 72].
+    /// Number of callers [default: 18, with --series or --drill 72].
     #[arg(long)]
     callers: Option<usize>,
     /// Loopback network 127.N.0.0/16 to use; concurrent runs need different ones.
@@ -120,7 +124,9 @@
 impl RunOptions {
     /// Mode of the seeds that are not read from a file.
     fn mode(&self) -> SoakMode {
-        if self.series {
+        if self.drill {
+            SoakMode::Drill
+        } else if self.series {
             SoakMode::Series
         } else {
             SoakMode::Single
@@ -131,7 +137,7 @@
     fn size(&self, mode: SoakMode) -> SoakSize {
         let (instances, callers) = match mode {
             SoakMode::Single => (INSTANCES, CALLERS),
-            SoakMode::Series => (SERIES_INSTANCES, SERIES_CALLERS),
+            SoakMode::Series | SoakMode::Drill => (SERIES_INSTANCES, SERIES_CALLERS),
         };
         SoakSize {
             hosts: self.hosts,
@@ -160,9 +166,15 @@
         let prefix = match mode {
             SoakMode::Single => "",
             SoakMode::Series => "series ",
+            SoakMode::Drill => "drill ",
+        };
+        let (departures, holds) = report.notice_counts;
+        let notices = match mode {
+            SoakMode::Single | SoakMode::Series => String::new(),
+            SoakMode::Drill => format!(", {departures} departures passed on, {holds} holds"),
         };
         println!(
-            "{prefix}seed {seed}: {result}, {calls} calls, {served} served, {executed} executed"
+            "{prefix}seed {seed}: {result}, {calls} calls, {served} served, {executed} executed{notices}"
         );
         if !report.broken.is_empty() {
             for fault in &report.plan.faults {
@@ -198,9 +210,10 @@
         .map(str::trim)
         .filter(|line| !line.is_empty() && !line.starts_with('#'))
         .map(|line| {
-            let (mode, rest) = match line.strip_prefix("series ") {
-                Some(rest) => (SoakMode::Series, rest),
-                None => (SoakMode::Single, line),
+            let (mode, rest) = match line.split_once(' ') {
+                Some(("series", rest)) => (SoakMode::Series, rest),
+                Some(("drill", rest)) => (SoakMode::Drill, rest),
+                _ => (SoakMode::Single, line),
             };
             let seed = rest.split_whitespace().next().unwrap_or_default();
             let seed = seed.parse().map_err(|_| {
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -13,9 +13,14 @@
 use crate::CallHistory;
 use crate::CallOutcome;
 use crate::CallRecord;
+use crate::notice_check::check_departures;
+use crate::notice_check::check_holds;
 use crate::stop_check::check_missing_response;
 use crate::stop_check::check_readiness;
 use crate::stop_check::check_replaced_response;
+use crate::version_check::check_denials;
+use crate::version_check::check_versions;
+use crate::version_check::is_workspace_of;
 
 /// Milliseconds after its revocation from which a key admits no request, as the platform requires.
 pub(crate) const REVOKE_MS: u64 = 5_000;
@@ -86,6 +91,14 @@
     ReplacedAtStop(String, usize, String),
     /// {0} of {1} hosts still counted as ready 4 s after SIGTERM
     ReadyAfterStop(usize, usize),
+    /// host {1} sent {0}, {3} ms after it passed on that instance {2} leaves, to that one; {4}
+    SentToLeaving(String, usize, usize, u64, String),
+    /// host {0} sent {2} requests to instance {1}, which said at {3} ms that it wants none; {4}
+    SentToHolding(usize, usize, usize, u64, String),
+    /// host {1} applied version {2} to {0} after version {3} was in force there
+    VersionWentBack(String, usize, u64, u64),
+    /// {0} of {1} calls that each configuration allows were denied, {2} allowed
+    Denied(usize, usize, usize),
     /// fleet did not recover: {0} of {1} calls served at the end
     NotRecovered(usize, usize),
     /// host {0} exited without being killed or asked to stop
@@ -109,7 +122,7 @@
             broken.push(BrokenPromise::NeverSent(execution.attempt_id.clone()));
             continue;
         };
-        if execution.workspace != call.workspace || execution.received_key {
+        if !is_workspace_of(execution, call) || execution.received_key {
             broken.push(BrokenPromise::WrongWorkspaceOrKeyLeak(
                 execution.attempt_id.clone(),
             ));
@@ -137,6 +150,10 @@
         broken.extend(check_call(history, call, executions, call_arrivals));
     }
     broken.extend(check_readiness(history));
+    broken.extend(check_departures(history, &calls));
+    broken.extend(check_holds(history));
+    broken.extend(check_versions(history, &calls));
+    broken.extend(check_denials(history));
     broken.extend(check_limit(history));
     broken.extend(check_retries(history));
     broken.extend(check_recovery(history));
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -30,6 +30,7 @@
 use crate::ArrivalRecord;
 use crate::CallHistory;
 use crate::ExecutionRecord;
+use crate::HoldRecord;
 use crate::HostOutage;
 use crate::ReadyProbe;
 use crate::SoakError;
@@ -40,6 +41,7 @@
 use crate::promise_check::LIMIT_BURST;
 use crate::promise_check::LIMIT_PER_S;
 use crate::promise_check::LIMITED_WORKSPACE;
+use crate::version_check::VERSION_WORKSPACE;
 
 /// Host name in the callers' requests, by which the fleet selects the route.
 pub(crate) const HOST_NAME: &str = "ledger.example";
@@ -149,7 +151,7 @@
         let mut instance_links = Vec::new();
         for index in 0..size.instances {
             let instance = new_instance(net, index);
-            if mode == SoakMode::Series {
+            if mode != SoakMode::Single {
                 instance.max_executing.set(MAX_EXECUTING);
             }
             spawn_server(Rc::clone(&instance).serve());
@@ -160,6 +162,9 @@
             instances.push(instance);
             instance_links.push(instance_link);
         }
+        if mode == SoakMode::Drill {
+            store.tell_era();
+        }
         let mut store_links = Vec::new();
         let mut hosts = Vec::new();
         store.write_config(&new_config(FIRST_VERSION, mode, true));
@@ -217,6 +222,12 @@
         }
     }
 
+    /// Index of the instance with this id.
+    pub(crate) fn instance_index(&self, id: &str) -> Option<usize> {
+        let mut instances = self.instances.iter();
+        instances.position(|instance| instance.id == id)
+    }
+
     /// Writes the next configuration version, without the revocable key unless `with_all_keys`.
     pub(crate) fn write_next_config(&self, with_all_keys: bool) {
         self.config_version
@@ -281,7 +292,11 @@
     /// Starts the process of a host again after it has ended.
     pub(crate) fn restart_host(&self, index: usize) -> std::io::Result<()> {
         self.record_stop(index);
-        self.hosts[index].started_ms.set(self.now_ms());
+        let started_ms = self.now_ms();
+        self.hosts[index].started_ms.set(started_ms);
+        let mut history = self.history.borrow_mut();
+        history.host_starts.push((index, started_ms));
+        drop(history);
         self.hosts[index].process.borrow_mut().restart()
     }
 
@@ -339,6 +354,15 @@
                     result: arrival.result,
                 }
             }));
+            let statements = instance.hold_statements.borrow();
+            history.holds.extend(statements.iter().map(|statement| {
+                let said_ms = self.ms_at(statement.said_at);
+                HoldRecord {
+                    host: self.host_at(SocketAddr::from((statement.host, 0))),
+                    instance: index,
+                    span_ms: said_ms..said_ms + statement.hold_ms,
+                }
+            }));
             let requests = instance.executed_requests.borrow();
             history
                 .executions
@@ -418,7 +442,7 @@
         service: SERVICE,
         timeout_ms: route_timeout_ms(mode),
         workspaces,
-        version_key: None,
+        version_key: (mode == SoakMode::Drill).then(|| workspace_key(VERSION_WORKSPACE)),
     }
 }
 
@@ -426,7 +450,7 @@
 fn route_timeout_ms(mode: SoakMode) -> u64 {
     match mode {
         SoakMode::Single => DEADLINE_MS,
-        SoakMode::Series => SERIES_TIMEOUT_MS,
+        SoakMode::Series | SoakMode::Drill => SERIES_TIMEOUT_MS,
     }
 }
 
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -31,6 +31,12 @@
 /// Random stream of the faults of the series mode; that of the other faults is 0.
 const SERIES_STREAM: u64 = 1;
 
+/// Random stream of the faults that only the drill mode has.
+const DRILL_STREAM: u64 = 2;
+
+/// Bounds of the number of faults of each kind that only the drill mode has.
+const DRILL_FAULTS: std::ops::RangeInclusive<usize> = 2..=4;
+
 /// Bounds of the number of faults that only the series mode has.
 const SERIES_FAULTS: std::ops::RangeInclusive<usize> = 4..=8;
 
@@ -40,6 +46,15 @@
 /// Upper bound, exclusive, of the duration of a fault of the series mode, in milliseconds.
 const MAX_SERIES_MS: u64 = 6_000;
 
+/// Upper bound, exclusive, of the milliseconds for which the store is away before a restore.
+const MAX_AWAY_MS: u64 = 1_500;
+
+/// Lower bound of the age of a restored copy, in milliseconds.
+const MIN_COPY_MS: u64 = 500;
+
+/// Upper bound, exclusive, of the age of a restored copy, in milliseconds.
+const MAX_COPY_MS: u64 = 8_000;
+
 /// Milliseconds in which a rolling stop asks all hosts to stop, at most.
 const MAX_ROLLING_MS: u64 = 12_000;
 
@@ -50,6 +65,9 @@
     Single,
     /// Signals, stops and restarts in series, and callers that use connections until they close.
     Series,
+    /// The series mode, with instances that leave or want no requests, and a store that comes back
+    /// from older copies.
+    Drill,
 }
 
 /// Size of the fleet and its load.
@@ -116,6 +134,14 @@
     InstancesFault(u8),
     /// All instances have this fault while all hosts are killed (true) or stopped, and after.
     AllRestarted(u8, bool),
+    /// Instances drawn from this seed say that they leave, end, and start anew.
+    InstancesLeave(u32),
+    /// Instances drawn from this seed reject requests for a time and want none for a longer one,
+    /// again and again.
+    InstancesHold(u32),
+    /// The store is away for the first milliseconds and comes back from a copy that is as old as
+    /// the second ones.
+    StoreRestored(u64, u64),
 }
 
 /// Fault with the time at which it happens.
@@ -175,6 +201,33 @@
         SoakPlan { faults }
     }
 
+    /// Draws the plan of the drill mode for `seed` in a fleet of this size: that of the series
+    /// mode, and further faults beside it.
+    pub fn draw_drill(seed: u64, size: SoakSize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(DRILL_STREAM);
+        let mut faults = Self::draw_series(seed, size).faults;
+        let draws: [fn(&mut ChaCha8Rng) -> FaultKind; 3] = [
+            |rng| FaultKind::InstancesLeave(rng.random()),
+            |rng| FaultKind::InstancesHold(rng.random()),
+            |rng| {
+                let away_ms = rng.random_range(0..MAX_AWAY_MS);
+                FaultKind::StoreRestored(away_ms, rng.random_range(MIN_COPY_MS..MAX_COPY_MS))
+            },
+        ];
+        for draw_kind in draws {
+            for _ in 0..rng.random_range(DRILL_FAULTS) {
+                faults.push(PlannedFault {
+                    start_ms: rng.random_range(MIN_START_MS..MAX_START_MS),
+                    duration_ms: rng.random_range(MIN_DURATION_MS..MAX_DURATION_MS),
+                    kind: draw_kind(&mut rng),
+                });
+            }
+        }
+        faults.sort_by_key(|fault| fault.start_ms);
+        SoakPlan { faults }
+    }
+
     /// End of the last fault, in milliseconds after the start of the load.
     pub fn end_ms(&self) -> u64 {
         let ends = self.faults.iter();
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -23,6 +23,9 @@
 use crate::SoakSize;
 use crate::caller_load::run_caller;
 use crate::check_promises;
+use crate::drill_faults::hold_instances;
+use crate::drill_faults::leave_instances;
+use crate::drill_faults::restore_store;
 use crate::lasting_callers::run_lasting_caller;
 use crate::link_proxy::LinkState;
 use crate::promise_check::LIMITED_WORKSPACE;
@@ -60,6 +63,8 @@
     pub plan: SoakPlan,
     /// Numbers of calls sent, of calls served with status 200, and of executions by instances.
     pub counts: (usize, usize, usize),
+    /// Numbers of responses that said that an instance leaves, or that it wants no requests.
+    pub notice_counts: (usize, usize),
     /// Promises that were broken; empty if all were kept.
     pub broken: Vec<BrokenPromise>,
 }
@@ -78,6 +83,7 @@
     let plan = match mode {
         SoakMode::Single => SoakPlan::draw(seed, size),
         SoakMode::Series => SoakPlan::draw_series(seed, size),
+        SoakMode::Drill => SoakPlan::draw_drill(seed, size),
     };
     let fleet = SoakFleet::start(net, mode, size).await?;
     compio::runtime::spawn(Rc::clone(&fleet).watch_hosts()).detach();
@@ -88,7 +94,7 @@
         let fleet = Rc::clone(&fleet);
         match mode {
             SoakMode::Single => compio::runtime::spawn(run_caller(fleet, seed, caller_index)),
-            SoakMode::Series => {
+            SoakMode::Series | SoakMode::Drill => {
                 compio::runtime::spawn(run_lasting_caller(fleet, seed, caller_index))
             }
         }
@@ -112,6 +118,10 @@
     fleet.collect_executions();
     let history = fleet.history.borrow();
     let served = history.calls.iter().filter(|call| is_served(&call.outcome));
+    let departures = history
+        .calls
+        .iter()
+        .filter(|call| call.leaving_instance.is_some());
     let report = SoakReport {
         seed,
         plan,
@@ -120,12 +130,14 @@
             served.count(),
             history.executions.len(),
         ),
+        notice_counts: (departures.count(), history.holds.len()),
         broken: check_promises(&history),
     };
     if !report.broken.is_empty() {
         let name = match mode {
             SoakMode::Single => format!("seed-{seed}"),
             SoakMode::Series => format!("series-{seed}"),
+            SoakMode::Drill => format!("drill-{seed}"),
         };
         fleet.copy_host_files(&logs.join(name))?;
     }
@@ -214,9 +226,15 @@
             instance_link.state.set(link_state(choice));
             sleep_until(&fleet, end_ms).await;
             instance_link.state.set(LinkState::Open);
-            if link_state(choice) == LinkState::Closed {
-                let cut = (instance, start_ms..fleet.now_ms());
-                fleet.history.borrow_mut().instance_cuts.push(cut);
+            let cut = (instance, start_ms..fleet.now_ms());
+            let mut history = fleet.history.borrow_mut();
+            match link_state(choice) {
+                LinkState::Closed => {
+                    history.instance_cuts.push(cut.clone());
+                    history.instance_silences.push(cut);
+                }
+                LinkState::Stalled | LinkState::OneWay => history.instance_silences.push(cut),
+                LinkState::Open | LinkState::Delayed(_) => {}
             }
         }
         FaultKind::InstanceFault(instance, choice) => {
@@ -245,6 +263,11 @@
                 .revoked_key
                 .get_or_insert((REVOCABLE_WORKSPACE, now_ms));
         }
+        FaultKind::InstancesLeave(seed) => leave_instances(&fleet, seed, end_ms).await,
+        FaultKind::InstancesHold(seed) => hold_instances(&fleet, seed, end_ms).await,
+        FaultKind::StoreRestored(away_ms, age_ms) => {
+            restore_store(&fleet, away_ms, age_ms).await;
+        }
         series_fault => inject_series_fault(&fleet, series_fault, end_ms).await?,
     }
     Ok(())
--- a/crates/soak/tests/promises.rs
+++ b/crates/soak/tests/promises.rs
@@ -35,6 +35,7 @@
         deadline_ms: 1_500,
         outcome,
         is_from_host: false,
+        leaving_instance: None,
     }
 }
 
