Wait for the addresses of the run before when a soak starts its servers

Cause: the system closes the listeners of a run some time after its end, so the servers of the next run found their addresses in use and stopped. Ruled out: another run on the same network; none had it. Change: servers of the stand-ins try again for 10 s. Conclusion: a fault of the soak alone, fixed.

--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -80,6 +80,9 @@
 /// Milliseconds within which all hosts must be ready after the start.
 const READY_TIMEOUT_MS: u64 = 15_000;
 
+/// Milliseconds within which the addresses of an earlier run are free again.
+const LISTEN_TIMEOUT_MS: u64 = 10_000;
+
 /// Milliseconds between checks for ready hosts and for hosts that exited.
 const POLL_INTERVAL_MS: u64 = 100;
 
@@ -146,7 +149,8 @@
         std::fs::create_dir_all(&host_files)?;
         let store = Rc::new(StoreStandin::default());
         let store_address = SocketAddr::from(([127, net, 0, 1], STORE_PORT));
-        spawn_server(Rc::clone(&store).serve(store_address));
+        let served_store = Rc::clone(&store);
+        spawn_server(move || Rc::clone(&served_store).serve(store_address));
         let mut instances = Vec::new();
         let mut instance_links = Vec::new();
         for index in 0..size.instances {
@@ -154,9 +158,11 @@
             if mode != SoakMode::Single {
                 instance.max_executing.set(MAX_EXECUTING);
             }
-            spawn_server(Rc::clone(&instance).serve());
+            let served_instance = Rc::clone(&instance);
+            spawn_server(move || Rc::clone(&served_instance).serve());
             let instance_link = LinkProxy::new(instance.listed_address, instance.address);
-            spawn_server(Rc::clone(&instance_link).serve());
+            let served_link = Rc::clone(&instance_link);
+            spawn_server(move || Rc::clone(&served_link).serve());
             compio::runtime::spawn(Rc::clone(&instance).publish_entries(Rc::clone(&store)))
                 .detach();
             instances.push(instance);
@@ -171,7 +177,8 @@
         for index in 0..size.hosts {
             let link_address = SocketAddr::from(([127, net, 3, index as u8 + 1], STORE_PORT));
             let store_link = LinkProxy::new(link_address, store_address);
-            spawn_server(Rc::clone(&store_link).serve());
+            let served_link = Rc::clone(&store_link);
+            spawn_server(move || Rc::clone(&served_link).serve());
             store_links.push(store_link);
             let ip = Ipv4Addr::new(127, net, 1, index as u8 + 1);
             let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
@@ -455,10 +462,18 @@
 }
 
 /// Runs the server of a stand-in or link proxy until the process ends.
-fn spawn_server(server: impl Future<Output = Result<(), TransportError>> + 'static) {
+///
+/// The system closes the listeners of a run some time after its end, so the first attempts of the
+/// next run may find the address in use.
+fn spawn_server<S: Future<Output = Result<(), TransportError>>>(serve: impl Fn() -> S + 'static) {
     let server_task = async move {
-        if let Err(error) = server.await {
-            eprintln!("server of a stand-in or link proxy stopped: {error}");
+        let deadline = Instant::now() + Duration::from_millis(LISTEN_TIMEOUT_MS);
+        while let Err(error) = serve().await {
+            if Instant::now() > deadline {
+                eprintln!("server of a stand-in or link proxy stopped: {error}");
+                return;
+            }
+            sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         }
     };
     compio::runtime::spawn(server_task).detach();
