--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -30,6 +30,7 @@
 use crate::ArrivalRecord;
 use crate::CallHistory;
 use crate::ExecutionRecord;
+use crate::HoldRecord;
 use crate::HostOutage;
 use crate::ReadyProbe;
 use crate::SoakError;
@@ -40,6 +41,7 @@
 use crate::promise_check::LIMIT_BURST;
 use crate::promise_check::LIMIT_PER_S;
 use crate::promise_check::LIMITED_WORKSPACE;
+use crate::version_check::VERSION_WORKSPACE;
 
 /// Host name in the callers' requests, by which the fleet selects the route.
 pub(crate) const HOST_NAME: &str = "ledger.example";
@@ -78,6 +80,9 @@
 /// Milliseconds within which all hosts must be ready after the start.
 const READY_TIMEOUT_MS: u64 = 15_000;
 
+/// Milliseconds within which the addresses of an earlier run are free again.
+const LISTEN_TIMEOUT_MS: u64 = 10_000;
+
 /// Milliseconds between checks for ready hosts and for hosts that exited.
 const POLL_INTERVAL_MS: u64 = 100;
 
@@ -144,29 +149,36 @@
         std::fs::create_dir_all(&host_files)?;
         let store = Rc::new(StoreStandin::default());
         let store_address = SocketAddr::from(([127, net, 0, 1], STORE_PORT));
-        spawn_server(Rc::clone(&store).serve(store_address));
+        let served_store = Rc::clone(&store);
+        spawn_server(move || Rc::clone(&served_store).serve(store_address));
         let mut instances = Vec::new();
         let mut instance_links = Vec::new();
         for index in 0..size.instances {
             let instance = new_instance(net, index);
-            if mode == SoakMode::Series {
+            if mode != SoakMode::Single {
                 instance.max_executing.set(MAX_EXECUTING);
             }
-            spawn_server(Rc::clone(&instance).serve());
+            let served_instance = Rc::clone(&instance);
+            spawn_server(move || Rc::clone(&served_instance).serve());
             let instance_link = LinkProxy::new(instance.listed_address, instance.address);
-            spawn_server(Rc::clone(&instance_link).serve());
+            let served_link = Rc::clone(&instance_link);
+            spawn_server(move || Rc::clone(&served_link).serve());
             compio::runtime::spawn(Rc::clone(&instance).publish_entries(Rc::clone(&store)))
                 .detach();
             instances.push(instance);
             instance_links.push(instance_link);
         }
+        if mode == SoakMode::Drill {
+            store.tell_era();
+        }
         let mut store_links = Vec::new();
         let mut hosts = Vec::new();
         store.write_config(&new_config(FIRST_VERSION, mode, true));
         for index in 0..size.hosts {
             let link_address = SocketAddr::from(([127, net, 3, index as u8 + 1], STORE_PORT));
             let store_link = LinkProxy::new(link_address, store_address);
-            spawn_server(Rc::clone(&store_link).serve());
+            let served_link = Rc::clone(&store_link);
+            spawn_server(move || Rc::clone(&served_link).serve());
             store_links.push(store_link);
             let ip = Ipv4Addr::new(127, net, 1, index as u8 + 1);
             let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
@@ -217,6 +229,12 @@
         }
     }
 
+    /// Index of the instance with this id.
+    pub(crate) fn instance_index(&self, id: &str) -> Option<usize> {
+        let mut instances = self.instances.iter();
+        instances.position(|instance| instance.id == id)
+    }
+
     /// Writes the next configuration version, without the revocable key unless `with_all_keys`.
     pub(crate) fn write_next_config(&self, with_all_keys: bool) {
         self.config_version
@@ -281,7 +299,11 @@
     /// Starts the process of a host again after it has ended.
     pub(crate) fn restart_host(&self, index: usize) -> std::io::Result<()> {
         self.record_stop(index);
-        self.hosts[index].started_ms.set(self.now_ms());
+        let started_ms = self.now_ms();
+        self.hosts[index].started_ms.set(started_ms);
+        let mut history = self.history.borrow_mut();
+        history.host_starts.push((index, started_ms));
+        drop(history);
         self.hosts[index].process.borrow_mut().restart()
     }
 
@@ -339,6 +361,15 @@
                     result: arrival.result,
                 }
             }));
+            let statements = instance.hold_statements.borrow();
+            history.holds.extend(statements.iter().map(|statement| {
+                let said_ms = self.ms_at(statement.said_at);
+                HoldRecord {
+                    host: self.host_at(SocketAddr::from((statement.host, 0))),
+                    instance: index,
+                    span_ms: said_ms..said_ms + statement.hold_ms,
+                }
+            }));
             let requests = instance.executed_requests.borrow();
             history
                 .executions
@@ -418,6 +449,7 @@
         service: SERVICE,
         timeout_ms: route_timeout_ms(mode),
         workspaces,
+        version_key: (mode == SoakMode::Drill).then(|| workspace_key(VERSION_WORKSPACE)),
     }
 }
 
@@ -425,15 +457,23 @@
 fn route_timeout_ms(mode: SoakMode) -> u64 {
     match mode {
         SoakMode::Single => DEADLINE_MS,
-        SoakMode::Series => SERIES_TIMEOUT_MS,
+        SoakMode::Series | SoakMode::Drill => SERIES_TIMEOUT_MS,
     }
 }
 
 /// Runs the server of a stand-in or link proxy until the process ends.
-fn spawn_server(server: impl Future<Output = Result<(), TransportError>> + 'static) {
+///
+/// The system closes the listeners of a run some time after its end, so the first attempts of the
+/// next run may find the address in use.
+fn spawn_server<S: Future<Output = Result<(), TransportError>>>(serve: impl Fn() -> S + 'static) {
     let server_task = async move {
-        if let Err(error) = server.await {
-            eprintln!("server of a stand-in or link proxy stopped: {error}");
+        let deadline = Instant::now() + Duration::from_millis(LISTEN_TIMEOUT_MS);
+        while let Err(error) = serve().await {
+            if Instant::now() > deadline {
+                eprintln!("server of a stand-in or link proxy stopped: {error}");
+                return;
+            }
+            sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
         }
     };
     compio::runtime::spawn(server_task).detach();
