Bound what a host admits of a workspace between two answers of its hub

Class of the fault: a feedback loop that is bounded on average only, as of the retries. Cause: a share of 1 is no number. While the demand of a workspace jumps, each host admits all of it until its hub has counted the first requests and answered. Reproduced: a new model of the network (tests/workspace_limit) with late and lost datagrams, hosts that stop, frozen hubs and several hubs. Change: a host admits at most half of its equal part of the window, two fifths of what it admitted in the last window, or two requests, whichever is most, beyond what an answered report counts. It needs no message: the report that an answer names says what is counted. Ruled out: grants of the whole room as for retries. With 100 hosts and a limit of 120 requests a window most hosts would have none left while callers use half. Tests: the jump with late datagrams failed before. Conclusion: the loop between two rounds is bounded.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -173,6 +173,8 @@
     pub(crate) hub_known_since: Cell<Option<ClockTime>>,
     /// When the hub of this host last answered.
     pub(crate) hub_answered_at: Cell<Option<ClockTime>>,
+    /// When the last report was sent that a hub has answered.
+    pub(crate) answered_report_at: Cell<Option<ClockTime>>,
     /// When the last request of a caller arrived.
     pub(crate) last_request_at: Cell<Option<ClockTime>>,
     /// When this host last logged that an instance sent an unreadable header.
@@ -241,6 +243,7 @@
             hub: Cell::new(None),
             hub_known_since: Cell::new(None),
             hub_answered_at: Cell::new(None),
+            answered_report_at: Cell::new(None),
             last_request_at: Cell::new(None),
             unreadable_signal_logged_at: Cell::new(None),
             started_at: ClockTime::now(),
@@ -392,6 +395,12 @@
         self.knows_hosts.get() && self.config.borrow().is_some()
     }
 
+    /// Records that a hub has counted the report that was sent at `sent_at`.
+    pub(crate) fn record_answered_report(&self, sent_at: ClockTime) {
+        let answered_at = self.answered_report_at.get().max(Some(sent_at));
+        self.answered_report_at.set(answered_at);
+    }
+
     /// Number of hosts that share the limits of the fleet.
     pub(crate) fn fleet_size(&self) -> usize {
         let advertised = self.advertised_hosts.borrow().hosts.len();
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -301,6 +301,7 @@
             .record_peer_evidence(report_sent_at, age);
     }
     context.hub_answered_at.set(Some(now));
+    context.record_answered_report(report_sent_at);
     context.hub_reads_listing.set(answer.reads_listing);
     context.record_peer_version(hub, answer.config_version, now);
     if answer.needs_full_list {
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -256,6 +256,7 @@
         apply_report(&self.context, own_address, &report, now);
         // This host has applied its own counters as a hub.
         self.context.is_counted.set(true);
+        self.context.record_answered_report(now);
         self.publish_totals(round, now).await;
         update_advertised_hosts(&self.context, now);
         let mut cursor = FeedCursor::default();
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -249,7 +249,8 @@
     let limit = context.limit_of(workspace);
     let assigned_share = context.assigned_share(&workspace.name, now);
     record.assigned_share = assigned_share;
-    match gate.decide(limit, assigned_share, hosts, now) {
+    let answered_at = context.answered_report_at.get();
+    match gate.decide(limit, assigned_share, answered_at, hosts, now) {
         GateDecision::Admit => Ok(()),
         GateDecision::Refuse { wait_ms } => Err(EdgeRefusal::with_retry_after(
             EdgeReason::OverLimit,
--- a/crates/policy/src/window_limiter.rs
+++ b/crates/policy/src/window_limiter.rs
@@ -280,6 +280,6 @@
 }
 
 /// Number of requests that a window of `limit` allows.
-fn window_capacity(limit: WindowLimit) -> f64 {
+pub(crate) fn window_capacity(limit: WindowLimit) -> f64 {
     limit.rate * WINDOW_MS as f64 / 1_000.0 + limit.burst
 }
--- a/crates/policy/tests/workspace_limit/fleet_model.rs
+++ b/crates/policy/tests/workspace_limit/fleet_model.rs
@@ -56,7 +56,7 @@
     }
 }
 
-fn counts_of(gate: &WorkspaceGate) -> [WorkspaceCounts; 1] {
+pub(crate) fn counts_of(gate: &WorkspaceGate) -> [WorkspaceCounts; 1] {
     [WorkspaceCounts {
         workspace: WORKSPACE,
         admitted: gate.admitted,
@@ -164,7 +164,7 @@
             let share = assigned[host]
                 .and_then(|(share, at)| aged_share(share, at, now))
                 .or(records.initial_share(WORKSPACE, now));
-            match gates[host].decide(limit, share, HOSTS, now) {
+            match gates[host].decide(limit, share, assigned[host].map(|(_, at)| at), HOSTS, now) {
                 GateDecision::Admit => admitted += 1,
                 GateDecision::Refuse { .. } => run.refused += 1,
             }
@@ -219,12 +219,12 @@
     restart_ms + downtime_ms + centre as u64 * 100
 }
 
-fn centre_name(centre: usize) -> String {
+pub(crate) fn centre_name(centre: usize) -> String {
     format!("dc{centre}")
 }
 
 /// Near-full records as read by a host that starts at `now`.
-fn read_records(stored: &[NearFullWorkspaces], now: ClockTime) -> NearFullRecords {
+pub(crate) fn read_records(stored: &[NearFullWorkspaces], now: ClockTime) -> NearFullRecords {
     let mut records = NearFullRecords::default();
     for (centre, near_full) in stored.iter().enumerate() {
         records.set_record(&centre_name(centre), near_full.clone());
--- a/crates/policy/tests/workspace_limit/main.rs
+++ b/crates/policy/tests/workspace_limit/main.rs
@@ -10,6 +10,8 @@
 mod fleet_model;
 mod fleet_partition;
 mod fleet_restart;
+mod late_reports;
+mod network_model;
 
 use yare::parameterized;
 
