Decide by positions in the store's log whether an instance is listed

What callers saw, in the model of the store's eras: after several changes of the era hosts used an instance again whose removal they had read, or had no use of a live one until their next own read of the list.

Class: presence was decided by the order of messages, by sequence numbers and by the offset of the last change; none tells whether an entry was written after a removal.

Change: each instance has the positions of the entry read last, of the last one known to be written in its era, and of the list that lacked it last, and hosts send them along. They are joined by the latest of each, so order and number of messages do not matter. Within an era positions decide; across eras an entry counts only if it was written in its era, that is, beyond what the host knew of the list in that era. This replaces the wait for a second entry and the whole list's word for old entries. An entry in a message has some 10 bytes more; the size was not measured.

Ruled out: comparing sequence numbers alone, as the copy has entries that a host missed before the removal.

Existing tests: `instance_entries` and `instance_signals` pass the entry as one value with its positions; what they expect is unchanged.

--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -311,11 +311,10 @@
     context.registration_lost.set(answer.must_register);
     let mut table = context.instances.borrow_mut();
     for entry in std::mem::take(&mut answer.rows) {
-        let offset = StoreOffset::from(entry.changed_at);
-        let presence = entry.presence(now);
-        let listing: crocushoist_policy::InstanceListing = entry.into();
-        let id = listing.id.clone();
-        let change = table.apply_relayed(offset, listing, presence, now);
+        let relayed = entry.relayed(now);
+        let id = relayed.listing.id.clone();
+        let offset = relayed.changed_offset;
+        let change = table.apply_relayed(relayed, now);
         log_change(context, &id, change, offset);
     }
     apply_departures(context, &mut table, hub, &answer.departures, now);
--- a/crates/edge/src/listing_snapshot.rs
+++ b/crates/edge/src/listing_snapshot.rs
@@ -9,7 +9,6 @@
 use serde::Serialize;
 use slog::info;
 
-use crocushoist_policy::InstanceListing;
 use crocushoist_policy::ListingChange;
 use crocushoist_policy::Presence;
 use crocushoist_policy::StoreOffset;
@@ -62,15 +61,8 @@
     pub(crate) fn apply(self, context: &EdgeContext, requested_at: ClockTime, now: ClockTime) {
         let end_offset = StoreOffset::from(self.end_offset);
         context.learn_era(end_offset.era, now);
-        let entries: Vec<_> = self
-            .entries
-            .into_iter()
-            .map(|entry| {
-                let offset = StoreOffset::from(entry.changed_at);
-                let presence = entry.presence(now);
-                (offset, InstanceListing::from(entry), presence)
-            })
-            .collect();
+        let entries = self.entries.into_iter().map(|entry| entry.relayed(now));
+        let entries: Vec<_> = entries.collect();
         let instances = entries.len();
         let (is_whole, changes) = {
             let mut table = context.instances.borrow_mut();
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -25,6 +25,8 @@
 use crocushoist_policy::InstanceState;
 use crocushoist_policy::OutcomeCounts;
 use crocushoist_policy::Presence;
+use crocushoist_policy::PresenceEvidence;
+use crocushoist_policy::RelayedListing;
 use crocushoist_policy::RetryCounts;
 use crocushoist_policy::RetryGrant;
 use crocushoist_policy::ServiceCounts;
@@ -430,7 +432,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct WireListing {
     /// Offset of the entry's last change.
-    pub(crate) changed_at: WireOffset,
+    changed_at: WireOffset,
     id: CompactString,
     born: u64,
     seq: u64,
@@ -441,6 +443,32 @@
     leaving: bool,
     warm_up_ms: u64,
     presence: WirePresence,
+    evidence: WireEvidence,
+}
+
+/// Positions of the entry that was read last, of the last one that is known to be written in its
+/// era, and of the list that lacked the instance last.
+#[derive(Debug, Serialize, Deserialize)]
+struct WireEvidence(WireOffset, WireOffset, Option<WireOffset>);
+
+impl From<PresenceEvidence> for WireEvidence {
+    fn from(evidence: PresenceEvidence) -> Self {
+        WireEvidence(
+            evidence.read_at.into(),
+            evidence.written_at.into(),
+            evidence.absent_before.map(Into::into),
+        )
+    }
+}
+
+impl From<WireEvidence> for PresenceEvidence {
+    fn from(wire: WireEvidence) -> Self {
+        PresenceEvidence {
+            read_at: wire.0.into(),
+            written_at: wire.1.into(),
+            absent_before: wire.2.map(Into::into),
+        }
+    }
 }
 
 /// Whether an instance is in the list.
@@ -472,31 +500,31 @@
                 Presence::Lapsing(until) => WirePresence::Lapsing(until.since(now)),
                 Presence::Gone => WirePresence::Gone,
             },
+            evidence: state.evidence.into(),
         }
     }
 
-    /// Whether the instance is in the list, lapsing or gone.
-    pub(crate) fn presence(&self, now: ClockTime) -> Presence {
-        match self.presence {
-            WirePresence::Listed => Presence::Listed,
-            WirePresence::Lapsing(millis) => Presence::Lapsing(now.plus(millis)),
-            WirePresence::Gone => Presence::Gone,
-        }
-    }
-}
-
-impl From<WireListing> for InstanceListing {
-    fn from(wire: WireListing) -> Self {
-        InstanceListing {
-            id: wire.id,
-            started_at_unix_ms: wire.born,
-            seq: wire.seq,
-            service: wire.service,
-            address: wire.address,
-            data_centre: wire.data_centre,
-            slots: wire.slots,
-            leaving: wire.leaving,
-            warm_up_ms: wire.warm_up_ms,
+    /// Entry as the policy applies it at `now`.
+    pub(crate) fn relayed(self, now: ClockTime) -> RelayedListing {
+        RelayedListing {
+            changed_offset: self.changed_at.into(),
+            presence: match self.presence {
+                WirePresence::Listed => Presence::Listed,
+                WirePresence::Lapsing(millis) => Presence::Lapsing(now.plus(millis)),
+                WirePresence::Gone => Presence::Gone,
+            },
+            evidence: self.evidence.into(),
+            listing: InstanceListing {
+                id: self.id,
+                started_at_unix_ms: self.born,
+                seq: self.seq,
+                service: self.service,
+                address: self.address,
+                data_centre: self.data_centre,
+                slots: self.slots,
+                leaving: self.leaving,
+                warm_up_ms: self.warm_up_ms,
+            },
         }
     }
 }
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -8,7 +8,8 @@
 use crate::InstanceListing;
 use crate::OutcomeCounts;
 use crate::Presence;
-use crate::StoreEra;
+use crate::PresenceEvidence;
+use crate::RelayedListing;
 use crate::StoreOffset;
 use crate::TrialOffer;
 use crate::name_hash;
@@ -48,8 +49,8 @@
     pub presence: Presence,
     /// Offset of the last entry that changed more than its sequence number and warm-up.
     pub changed_offset: StoreOffset,
-    /// Era in which a gone instance was listed again, and the sequence number of that entry.
-    relisted: Option<(StoreEra, u64)>,
+    /// Why the instance is in the list or not.
+    pub evidence: PresenceEvidence,
     /// Requests in flight from this host.
     pub in_flight: u32,
     /// Requests in flight from the other hosts, as last reported by the hub.
@@ -89,19 +90,20 @@
 }
 
 impl InstanceState {
-    /// State of an instance that was listed at `offset`, with `latency_ms` assumed until
-    /// responses arrive.
-    pub(crate) fn new(
-        offset: StoreOffset,
-        listing: InstanceListing,
-        latency_ms: f64,
-        now: ClockTime,
-    ) -> Self {
+    /// State of an instance whose entry is first known as `relayed`, with `latency_ms` assumed
+    /// until responses arrive.
+    pub(crate) fn new(relayed: RelayedListing, latency_ms: f64, now: ClockTime) -> Self {
+        let RelayedListing {
+            changed_offset,
+            listing,
+            presence,
+            evidence,
+        } = relayed;
         InstanceState {
             hash: name_hash(&listing.id),
-            presence: Presence::Listed,
-            changed_offset: offset,
-            relisted: None,
+            presence,
+            changed_offset,
+            evidence,
             in_flight: 0,
             others_in_flight: 0,
             warm_up_until: now.plus(listing.warm_up_ms),
@@ -211,44 +213,51 @@
         self.warm_up_until.since(now)
     }
 
-    /// Replaces the entry with a newer one; returns whether more than its sequence number and
-    /// warm-up changed, or the instance is listed again.
-    pub(crate) fn apply_entry(&mut self, listing: InstanceListing, now: ClockTime) -> bool {
-        let is_back = self.presence != Presence::Listed;
+    /// Entry as this host sends it to another.
+    pub fn relayed(&self, now: ClockTime) -> RelayedListing {
+        RelayedListing {
+            changed_offset: self.changed_offset,
+            listing: self.listing.clone(),
+            presence: self.presence_at(now),
+            evidence: self.evidence,
+        }
+    }
+
+    /// Replaces the entry with a newer one of the same start; returns whether more than its
+    /// sequence number and warm-up changed.
+    pub(crate) fn replace_listing(&mut self, listing: InstanceListing, now: ClockTime) -> bool {
         let is_same = InstanceListing {
             seq: listing.seq,
             warm_up_ms: listing.warm_up_ms,
             ..self.listing.clone()
         } == listing;
-        self.presence = Presence::Listed;
         self.warm_up_until = now.plus(listing.warm_up_ms);
         self.listing = listing;
-        is_back || !is_same
+        !is_same
     }
 
-    /// Whether an entry of the same start, read at `offset`, may make the instance present.
+    /// Joins `evidence`, of a list that has the instance as `presence`, with the known one.
     ///
-    /// An entry from before the removal does not. The copy that a store came back from may list an
-    /// instance that is gone. Only a second entry in that era, with a higher `seq`, shows that the
-    /// instance still writes.
-    pub(crate) fn may_return(&mut self, offset: StoreOffset, seq: u64) -> bool {
-        let era = offset.era;
-        if self.presence != Presence::Gone {
-            return true;
-        }
-        if self.listing.leaving || !offset.supersedes(self.changed_offset) {
-            return false;
-        }
-        if era == self.changed_offset.era {
-            return true;
-        }
-        match self.relisted {
-            Some((relisted_era, first_seq)) if relisted_era == era => seq > first_seq,
-            _ => {
-                self.relisted = Some((era, seq));
-                false
-            }
-        }
+    /// A lapse that is over counts as gone, and an instance that is gone does not lapse again
+    /// unless it wrote in between.
+    pub(crate) fn join_evidence(
+        &mut self,
+        evidence: PresenceEvidence,
+        presence: Presence,
+        now: ClockTime,
+    ) {
+        let known = self.evidence;
+        let known_presence = self.presence_at(now);
+        self.evidence = known.joined(evidence);
+        self.presence = if self.evidence.is_listed() {
+            Presence::Listed
+        } else if known.is_listed() || evidence.outlives(known) {
+            presence
+        } else if known.outlives(evidence) || presence != Presence::Gone {
+            known_presence
+        } else {
+            Presence::Gone
+        };
     }
 
     /// Records that the instance reported that it is leaving, or has another identity than listed.
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -32,6 +32,8 @@
 use crate::ListingChanges;
 use crate::OutcomeCounts;
 use crate::Presence;
+use crate::PresenceEvidence;
+use crate::RelayedListing;
 use crate::RetrySafety;
 use crate::ServiceCounts;
 use crate::StoreEra;
@@ -148,54 +150,79 @@
     }
 
     /// Applies the list entry that the store holds at `offset`.
+    ///
+    /// An entry beyond the part of the list that was known in its era was written in that era. Any
+    /// other may be one of an earlier era that the store's copy contains.
     pub fn apply_listing(
         &mut self,
         offset: StoreOffset,
         listing: InstanceListing,
         now: ClockTime,
     ) -> ListingChange {
-        if let Some(key) = self.index.find_id(&listing.id) {
-            let state = &mut self.instances[key];
-            let is_same_start = state.listing.started_at_unix_ms == listing.started_at_unix_ms;
-            if is_same_start && !state.may_return(offset, listing.seq) {
-                return ListingChange::Unchanged;
-            }
-        }
-        self.apply_entry(offset, listing, now)
+        let is_written = offset.is_at_or_after(self.next_offset);
+        let relayed = RelayedListing {
+            changed_offset: offset,
+            listing,
+            presence: Presence::Listed,
+            evidence: PresenceEvidence::read(offset, is_written),
+        };
+        self.apply_entry(relayed, offset, now)
     }
 
-    /// Applies an entry of the store or of another host, unless a newer one is known.
+    /// Applies an entry of the store or of another host; `position` is where hosts that follow
+    /// this list find the change.
     fn apply_entry(
         &mut self,
-        offset: StoreOffset,
-        mut listing: InstanceListing,
+        relayed: RelayedListing,
+        position: StoreOffset,
         now: ClockTime,
     ) -> ListingChange {
+        let listing = &relayed.listing;
         let Some(key) = self.index.find_id(&listing.id) else {
-            self.insert(offset, listing, now);
-            return ListingChange::Joined;
+            return self.insert(relayed, now);
         };
         let state = &mut self.instances[key];
-        let known = (state.listing.started_at_unix_ms, state.listing.seq);
-        if (listing.started_at_unix_ms, listing.seq) <= known {
+        let known = &state.listing;
+        if listing.started_at_unix_ms < known.started_at_unix_ms {
             return ListingChange::Unchanged;
         }
-        if listing.started_at_unix_ms > known.0 || listing.service != state.listing.service {
+        if listing.started_at_unix_ms > known.started_at_unix_ms {
+            self.remove_member(key);
+            return self.insert(relayed, now);
+        }
+        let presence_before = state.presence_at(now);
+        let absent_before = state.evidence.absent_before;
+        state.join_evidence(relayed.evidence, relayed.presence, now);
+        let presence = state.presence_at(now);
+        let is_newer = listing.seq > state.listing.seq;
+        if is_newer && listing.service != state.listing.service {
+            let moved = RelayedListing {
+                presence,
+                evidence: state.evidence,
+                ..relayed
+            };
             self.remove_member(key);
-            self.insert(offset, listing, now);
-            return ListingChange::Joined;
+            return self.insert(moved, now);
         }
-        listing.leaving |= state.listing.leaving;
+        let mut listing = relayed.listing;
         let starts_leaving = listing.leaving && !state.listing.leaving;
-        if !state.apply_entry(listing, now) {
-            return ListingChange::Unchanged;
-        }
-        state.changed_offset = offset;
-        if starts_leaving {
-            ListingChange::Leaving
-        } else {
-            ListingChange::Updated
+        state.listing.leaving |= listing.leaving;
+        listing.leaving = state.listing.leaving;
+        let is_replaced = is_newer && state.replace_listing(listing, now);
+        let change = match (presence_before, presence) {
+            (Presence::Listed | Presence::Lapsing(_), Presence::Gone) => ListingChange::Gone,
+            (Presence::Listed, Presence::Lapsing(_)) => ListingChange::Lapsed,
+            _ if starts_leaving => ListingChange::Leaving,
+            _ if is_replaced || presence_before != presence => ListingChange::Updated,
+            _ => ListingChange::Unchanged,
+        };
+        // Hosts that still list the instance must hear of a later absence too.
+        let is_absent_later =
+            presence != Presence::Listed && state.evidence.absent_before != absent_before;
+        if change != ListingChange::Unchanged || is_absent_later {
+            state.changed_offset = position.latest(relayed.changed_offset);
         }
+        change
     }
 
     /// Applies the removal of `id` at `offset`.
@@ -209,26 +236,32 @@
         id: &str,
         lapse_until: Option<ClockTime>,
         now: ClockTime,
+    ) -> ListingChange {
+        self.apply_absence(offset, offset.next(), id, lapse_until, now)
+    }
+
+    /// Applies that the list lacks `id` at `absent_before`; `position` is where hosts that follow
+    /// this list find the change.
+    fn apply_absence(
+        &mut self,
+        position: StoreOffset,
+        absent_before: StoreOffset,
+        id: &str,
+        lapse_until: Option<ClockTime>,
+        now: ClockTime,
     ) -> ListingChange {
         let Some(key) = self.index.find_id(id) else {
             return ListingChange::Unchanged;
         };
-        let state = &mut self.instances[key];
-        if state.presence == Presence::Gone || state.changed_offset.supersedes(offset) {
-            return ListingChange::Unchanged;
-        }
-        if state.presence != Presence::Listed && lapse_until.is_some_and(|until| now < until) {
-            return ListingChange::Unchanged;
-        }
-        state.changed_offset = offset;
-        if let Some(until) = lapse_until.filter(|until| now < *until)
-            && !state.listing.leaving
-        {
-            state.presence = Presence::Lapsing(until);
-            return ListingChange::Lapsed;
-        }
-        state.presence = Presence::Gone;
-        ListingChange::Gone
+        let state = &self.instances[key];
+        let lapse_until = lapse_until.filter(|until| now < *until && !state.listing.leaving);
+        let relayed = RelayedListing {
+            changed_offset: position,
+            listing: state.listing.clone(),
+            presence: lapse_until.map_or(Presence::Gone, Presence::Lapsing),
+            evidence: PresenceEvidence::absent(absent_before),
+        };
+        self.apply_entry(relayed, position, now)
     }
 
     /// Completes a read of the full list up to the offset `end`: removes listed instances for
@@ -240,19 +273,34 @@
         is_listed: impl Fn(&str) -> bool,
         lapse_until: Option<ClockTime>,
         now: ClockTime,
+    ) -> Vec<CompactString> {
+        self.remove_unlisted(end, |listing| is_listed(&listing.id), lapse_until, now)
+    }
+
+    fn remove_unlisted(
+        &mut self,
+        end: StoreOffset,
+        is_listed: impl Fn(&InstanceListing) -> bool,
+        lapse_until: Option<ClockTime>,
+        now: ClockTime,
     ) -> Vec<CompactString> {
         if self.next_offset.supersedes(end) {
             return Vec::new();
         }
-        let absent: Vec<CompactString> = self
-            .instances
-            .values()
-            .filter(|state| state.presence == Presence::Listed)
-            .filter(|state| !is_listed(&state.listing.id))
-            .map(|state| state.listing.id.clone())
-            .collect();
+        let mut absent = Vec::new();
+        for state in self.instances.values_mut() {
+            if is_listed(&state.listing) {
+                continue;
+            }
+            if state.presence == Presence::Listed {
+                absent.push(state.listing.id.clone());
+            } else {
+                let absence = PresenceEvidence::absent(end);
+                state.evidence = state.evidence.joined(absence);
+            }
+        }
         for id in &absent {
-            self.apply_removal(end.previous(), id, lapse_until, now);
+            self.apply_absence(end.previous(), end, id, lapse_until, now);
         }
         self.next_offset = self.next_offset.latest(end);
         self.removals_known_from = self.removals_known_from.latest(end);
@@ -270,55 +318,42 @@
     /// Applies an entry that another host relayed.
     ///
     /// Of an entry of an earlier era than this list, only a departure is applied. An instance that
-    /// this list lacks although it is read beyond `offset` has left, and the other host is behind.
-    pub fn apply_relayed(
+    /// this list lacks although it is read beyond the entry has left, and the other host is behind.
+    pub fn apply_relayed(&mut self, relayed: RelayedListing, now: ClockTime) -> ListingChange {
+        let is_earlier_era = relayed.changed_offset.era < self.next_offset.era;
+        self.merge_entry(relayed, is_earlier_era, self.next_offset, now)
+    }
+
+    /// Applies an entry of another host, or only the departure in it if that host `is_behind`.
+    fn merge_entry(
         &mut self,
-        offset: StoreOffset,
-        listing: InstanceListing,
-        presence: Presence,
+        mut relayed: RelayedListing,
+        is_behind: bool,
+        position: StoreOffset,
         now: ClockTime,
     ) -> ListingChange {
-        if offset.era < self.next_offset.era {
-            return self.merge_departure(listing, presence, now);
-        }
-        let is_present = presence != Presence::Gone && !listing.leaving;
-        if is_present && self.lists_no_start(&listing) && self.has_applied(offset) {
-            return ListingChange::Unchanged;
-        }
-        if let Some(key) = self.index.find_id(&listing.id) {
-            let state = &self.instances[key];
-            let is_same_start = state.listing.started_at_unix_ms == listing.started_at_unix_ms;
-            let is_gone = state.presence == Presence::Gone;
-            // The other host has missed the removal, whatever later sequence number it read before.
-            let is_renewed =
-                presence == Presence::Listed && offset.supersedes(state.changed_offset);
-            if is_same_start && is_gone && !is_renewed {
+        if !self.knows_start(&relayed.listing) {
+            let departs = relayed.presence == Presence::Gone || relayed.listing.leaving;
+            let mut is_outdated = is_behind;
+            let is_own_era = relayed.evidence.read_at.era <= self.next_offset.era;
+            if is_own_era && self.lists_no_start(&relayed.listing) {
+                let absence = PresenceEvidence::absent(self.next_offset);
+                relayed.evidence = relayed.evidence.joined(absence);
+                is_outdated |= !relayed.evidence.is_listed();
+            }
+            if is_outdated && !departs {
                 return ListingChange::Unchanged;
             }
         }
-        let id = listing.id.clone();
-        let mut change = self.apply_entry(offset, listing, now);
-        let Some(key) = self.index.find_id(&id) else {
-            return change;
-        };
-        let state = &mut self.instances[key];
-        // Only a newer entry makes an instance present again: a hub that missed its removal may
-        // relay an earlier presence with a later offset.
-        let is_later_stage = matches!(
-            (state.presence, presence),
-            (Presence::Listed, Presence::Lapsing(_) | Presence::Gone)
-                | (Presence::Lapsing(_), Presence::Gone)
-        );
-        if !state.changed_offset.supersedes(offset) && is_later_stage {
-            state.presence = presence;
-            state.changed_offset = offset;
-            change = if presence == Presence::Gone {
-                ListingChange::Gone
-            } else {
-                ListingChange::Lapsed
-            };
-        }
-        change
+        self.apply_entry(relayed, position, now)
+    }
+
+    /// Whether the start of the instance in `listing` is the latest one that is known.
+    fn knows_start(&self, listing: &InstanceListing) -> bool {
+        let key = self.index.find_id(&listing.id);
+        key.is_some_and(|key| {
+            self.instances[key].listing.started_at_unix_ms == listing.started_at_unix_ms
+        })
     }
 
     /// Whether this list has no start of the instance in `listing`, or an earlier one that is gone.
@@ -331,65 +366,6 @@
         })
     }
 
-    /// Whether the entry at `offset` was applied.
-    fn has_applied(&self, offset: StoreOffset) -> bool {
-        let next = self.next_offset;
-        offset.era == next.era && next.supersedes(offset)
-    }
-
-    /// Applies what another host's entry says of the departure of an instance, unless a newer
-    /// entry is known. Its other content is ignored, because this list is newer.
-    ///
-    /// The change gets the present position of this list, so that a hub relays it.
-    fn merge_departure(
-        &mut self,
-        listing: InstanceListing,
-        presence: Presence,
-        now: ClockTime,
-    ) -> ListingChange {
-        let is_gone = presence == Presence::Gone;
-        if !is_gone && !listing.leaving {
-            return ListingChange::Unchanged;
-        }
-        let offset = self.next_offset;
-        let known = self.index.find_id(&listing.id).map(|key| {
-            let known = &self.instances[key];
-            (key, known.listing.started_at_unix_ms, known.listing.seq)
-        });
-        let key = match known {
-            Some((key, started_at, seq)) if started_at == listing.started_at_unix_ms => {
-                if listing.seq < seq {
-                    return ListingChange::Unchanged;
-                }
-                key
-            }
-            Some((_, started_at, _)) if started_at > listing.started_at_unix_ms => {
-                return ListingChange::Unchanged;
-            }
-            earlier => {
-                if let Some((key, _, _)) = earlier {
-                    self.remove_member(key);
-                }
-                self.insert(offset, listing.clone(), now)
-            }
-        };
-        let state = &mut self.instances[key];
-        let was_present = state.presence != Presence::Gone;
-        let starts_leaving = listing.leaving && !state.listing.leaving;
-        state.listing.leaving |= listing.leaving;
-        state.listing.seq = listing.seq;
-        if is_gone && was_present {
-            state.presence = Presence::Gone;
-            state.changed_offset = offset;
-            return ListingChange::Gone;
-        }
-        if starts_leaving {
-            state.changed_offset = offset;
-            return ListingChange::Leaving;
-        }
-        ListingChange::Unchanged
-    }
-
     /// Applies the whole list of another host up to `end`, or only the departures in it if this
     /// list is newer. Returns whether it was applied in whole, and every change.
     ///
@@ -398,29 +374,18 @@
     pub fn apply_full_list(
         &mut self,
         end: StoreOffset,
-        entries: Vec<(StoreOffset, InstanceListing, Presence)>,
+        entries: Vec<RelayedListing>,
         relisting_ms: u64,
         now: ClockTime,
     ) -> (bool, Vec<(CompactString, ListingChange)>) {
         let own = self.next_offset;
         let is_outdated = own.supersedes(end);
         let mut changes = Vec::new();
-        let mut ids = HashSet::with_capacity(entries.len());
-        for (offset, listing, presence) in entries {
-            let id = listing.id.clone();
-            let change = if is_outdated {
-                self.merge_departure(listing, presence, now)
-            } else if presence == Presence::Listed {
-                // The other host found the instance in its list up to `end`, whenever the entry
-                // changed.
-                self.end_lapse(&listing);
-                self.apply_relayed(offset.latest(end.previous()), listing, presence, now)
-            } else {
-                self.apply_relayed(offset, listing, presence, now)
-            };
-            if presence != Presence::Gone {
-                ids.insert(id.clone());
-            }
+        let mut starts = HashSet::with_capacity(entries.len());
+        for relayed in entries {
+            let id = relayed.listing.id.clone();
+            starts.insert((id.clone(), relayed.listing.started_at_unix_ms));
+            let change = self.merge_entry(relayed, is_outdated, own.latest(end), now);
             changes.push((id, change));
         }
         if is_outdated {
@@ -429,7 +394,11 @@
         }
         let is_later_era = own.era.is_known() && end.era > own.era;
         let lapse_until = is_later_era.then(|| now.plus(relisting_ms));
-        let absent = self.finish_full_list(end, |id| ids.contains(id), lapse_until, now);
+        // An entry that is gone tells itself up to where the store's list lacked it.
+        let is_told = |listing: &InstanceListing| {
+            starts.contains(&(listing.id.clone(), listing.started_at_unix_ms))
+        };
+        let absent = self.remove_unlisted(end, is_told, lapse_until, now);
         changes.extend(absent.into_iter().map(|id| {
             let is_lapsing = self
                 .index
@@ -446,19 +415,6 @@
         (true, changes)
     }
 
-    /// Lists a lapsing instance again of which another host knows at least the last entry.
-    fn end_lapse(&mut self, listing: &InstanceListing) {
-        let Some(key) = self.index.find_id(&listing.id) else {
-            return;
-        };
-        let state = &mut self.instances[key];
-        let is_same_start = state.listing.started_at_unix_ms == listing.started_at_unix_ms;
-        let is_lapsing = matches!(state.presence, Presence::Lapsing(_));
-        if is_same_start && is_lapsing && listing.seq >= state.listing.seq {
-            state.presence = Presence::Listed;
-        }
-    }
-
     /// Changes for a host that knows the list up to `reported`.
     ///
     /// Of more than `max_relayed` changes none is relayed, because the whole list is shorter; one
@@ -907,20 +863,20 @@
         departed
     }
 
-    fn insert(
-        &mut self,
-        offset: StoreOffset,
-        listing: InstanceListing,
-        now: ClockTime,
-    ) -> InstanceKey {
-        let latency_ms = self.mean_latency_ms(&listing.service, now);
-        let mut state = InstanceState::new(offset, listing, latency_ms, now);
+    fn insert(&mut self, relayed: RelayedListing, now: ClockTime) -> ListingChange {
+        let latency_ms = self.mean_latency_ms(&relayed.listing.service, now);
+        let mut state = InstanceState::new(relayed, latency_ms, now);
         if self.departures.contains(state.departure_notice()) {
             state.record_departure();
         }
+        let change = if state.presence == Presence::Gone {
+            ListingChange::Gone
+        } else {
+            ListingChange::Joined
+        };
         let key = self.instances.push(state);
         self.index.insert(key, &self.instances[key]);
-        key
+        change
     }
 
     /// Removes an earlier start of an instance from its service.
--- a/crates/policy/tests/instance_entries.rs
+++ b/crates/policy/tests/instance_entries.rs
@@ -7,6 +7,8 @@
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::ListingChange;
 use crocushoist_policy::Presence;
+use crocushoist_policy::PresenceEvidence;
+use crocushoist_policy::RelayedListing;
 use crocushoist_policy::StoreEra;
 use crocushoist_policy::StoreOffset;
 use crocushoist_state::ClockTime;
@@ -36,6 +38,21 @@
     StoreOffset::new(StoreEra::default(), number)
 }
 
+/// Entry of a host that read it, or the removal of the instance, at `offset`.
+fn relayed(offset: StoreOffset, listing: InstanceListing, presence: Presence) -> RelayedListing {
+    let evidence = if presence == Presence::Listed {
+        PresenceEvidence::read(offset, true)
+    } else {
+        PresenceEvidence::absent(offset.next())
+    };
+    RelayedListing {
+        changed_offset: offset,
+        listing,
+        presence,
+        evidence,
+    }
+}
+
 #[test]
 fn heartbeat_that_changes_only_its_sequence_number_is_not_relayed() {
     let mut table = InstanceTable::default();
@@ -145,9 +162,15 @@
 #[test]
 fn relayed_removal_applies_on_a_host_that_never_read_the_list() {
     let mut table = InstanceTable::default();
-    table.apply_relayed(offset(4), entry(1, 1, false), Presence::Listed, at(0));
+    table.apply_relayed(
+        relayed(offset(4), entry(1, 1, false), Presence::Listed),
+        at(0),
+    );
     assert_eq!(table.usable_count(SERVICE, at(10)), 1);
-    let change = table.apply_relayed(offset(6), entry(1, 1, false), Presence::Gone, at(20));
+    let change = table.apply_relayed(
+        relayed(offset(6), entry(1, 1, false), Presence::Gone),
+        at(20),
+    );
     assert_eq!(change, ListingChange::Gone);
     assert_eq!(table.usable_count(SERVICE, at(20)), 0);
 }
@@ -163,12 +186,21 @@
 #[test]
 fn hub_that_missed_a_removal_does_not_bring_the_instance_back() {
     let mut table = InstanceTable::default();
-    table.apply_relayed(offset(4), entry(1, 1, false), Presence::Listed, at(0));
-    table.apply_relayed(offset(6), entry(1, 1, false), Presence::Gone, at(20));
+    table.apply_relayed(
+        relayed(offset(4), entry(1, 1, false), Presence::Listed),
+        at(0),
+    );
+    table.apply_relayed(
+        relayed(offset(6), entry(1, 1, false), Presence::Gone),
+        at(20),
+    );
     let lapsing = Presence::Lapsing(at(2_000));
-    let change = table.apply_relayed(offset(9), entry(1, 1, false), lapsing, at(40));
+    let change = table.apply_relayed(relayed(offset(9), entry(1, 1, false), lapsing), at(40));
     assert_eq!(change, ListingChange::Unchanged);
     assert_eq!(table.usable_count(SERVICE, at(50)), 0);
-    table.apply_relayed(offset(10), entry(1, 2, false), Presence::Listed, at(60));
+    table.apply_relayed(
+        relayed(offset(10), entry(1, 2, false), Presence::Listed),
+        at(60),
+    );
     assert_eq!(table.usable_count(SERVICE, at(70)), 1);
 }
--- a/crates/policy/tests/instance_signals.rs
+++ b/crates/policy/tests/instance_signals.rs
@@ -8,6 +8,8 @@
 use crocushoist_policy::InstanceListing;
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::Presence;
+use crocushoist_policy::PresenceEvidence;
+use crocushoist_policy::RelayedListing;
 use crocushoist_policy::RetrySafety;
 use crocushoist_policy::StoreEra;
 use crocushoist_policy::StoreOffset;
@@ -43,6 +45,21 @@
     }
 }
 
+/// Entry of a host that read it, or the removal of the instance, at `offset`.
+fn relayed(offset: StoreOffset, listing: InstanceListing, presence: Presence) -> RelayedListing {
+    let evidence = if presence == Presence::Listed {
+        PresenceEvidence::read(offset, true)
+    } else {
+        PresenceEvidence::absent(offset.next())
+    };
+    RelayedListing {
+        changed_offset: offset,
+        listing,
+        presence,
+        evidence,
+    }
+}
+
 /// Whether any of many choices is the instance `key`.
 fn is_chosen(table: &mut InstanceTable, key: InstanceKey, now: ClockTime) -> bool {
     (0..200).any(|index| {
@@ -78,7 +95,10 @@
     table.finish_full_list(offset(20), |id| id != "i-0", None, at(40));
     table.apply_listing(offset(21), entry(&table, 1, 4), at(50));
     assert!(!is_chosen(&mut table, key, at(50)), "after a full list");
-    table.apply_relayed(offset(22), entry(&table, 1, 5), Presence::Listed, at(60));
+    table.apply_relayed(
+        relayed(offset(22), entry(&table, 1, 5), Presence::Listed),
+        at(60),
+    );
     assert!(!is_chosen(&mut table, key, at(60)), "after a relayed entry");
     let moved = InstanceListing {
         service: "archive".into(),
--- a/crates/policy/tests/store_eras/host_model.rs
+++ b/crates/policy/tests/store_eras/host_model.rs
@@ -6,9 +6,9 @@
 use crocushoist_policy::EraReading;
 use crocushoist_policy::EraWatch;
 use crocushoist_policy::InstanceListing;
-use crocushoist_policy::InstanceState;
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::Presence;
+use crocushoist_policy::RelayedListing;
 use crocushoist_policy::StoreEra;
 use crocushoist_policy::StoreOffset;
 use crocushoist_state::ClockTime;
@@ -26,9 +26,6 @@
 /// Milliseconds after which evidence admits no keyed request.
 const MAX_EVIDENCE_AGE_MS: u64 = 4_400;
 
-/// Entry as one host sends it to another.
-pub(crate) type SentEntry = (StoreOffset, InstanceListing, Presence);
-
 /// What a host has seen of an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct SeenStart {
@@ -62,7 +59,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct AnswerModel {
     pub(crate) end: StoreOffset,
-    pub(crate) entries: Vec<SentEntry>,
+    pub(crate) entries: Vec<RelayedListing>,
     pub(crate) is_complete: bool,
     pub(crate) needs_full_list: bool,
     pub(crate) version: u64,
@@ -74,7 +71,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct SnapshotModel {
     pub(crate) end: StoreOffset,
-    pub(crate) entries: Vec<SentEntry>,
+    pub(crate) entries: Vec<RelayedListing>,
 }
 
 /// Host of the model.
@@ -209,11 +206,6 @@
         }
     }
 
-    fn sent_entry(state: &InstanceState, now: ClockTime) -> SentEntry {
-        let presence = state.presence_at(now);
-        (state.changed_offset, state.listing.clone(), presence)
-    }
-
     /// Answer to `report`, and whether this host fetches the list of the reporter.
     pub(crate) fn answer(&mut self, report: &ReportModel, now: ClockTime) -> (AnswerModel, bool) {
         self.learn_era(report.offset.era, now);
@@ -229,7 +221,7 @@
             entries: changes
                 .entries
                 .iter()
-                .map(|state| Self::sent_entry(state, now))
+                .map(|state| state.relayed(now))
                 .collect(),
             is_complete: changes.is_complete,
             needs_full_list: changes.needs_full_list && self.has_list,
@@ -249,8 +241,8 @@
             self.evidence
                 .record_peer_evidence(answer.report_sent_at, age);
         }
-        for (offset, listing, presence) in answer.entries {
-            self.table.apply_relayed(offset, listing, presence, now);
+        for relayed in answer.entries {
+            self.table.apply_relayed(relayed, now);
         }
         self.table.advance(answer.end);
         if answer.is_complete {
@@ -264,7 +256,7 @@
         let entries = present.chain(self.table.departed());
         self.has_list.then(|| SnapshotModel {
             end: self.table.next_offset(),
-            entries: entries.map(|state| Self::sent_entry(state, now)).collect(),
+            entries: entries.map(|state| state.relayed(now)).collect(),
         })
     }
 
