Tell in the model whether a host can know that an instance left

The check of the list model took a host to know a departure as soon as the instance was gone for the host and in truth. A host that took a live instance for gone, as its entry had been missing for 1.8 s after the return of a copy, knew nothing of its departure.

The check now asks that the list lacked the instance at a position after its last entry, which the model knows from its own log. Lists at the end of the run are checked as before.

--- a/crates/policy/tests/store_eras/main.rs
+++ b/crates/policy/tests/store_eras/main.rs
@@ -199,8 +199,13 @@
                         && state.listing.started_at_unix_ms == instance.born
                 });
                 let Some(state) = state else { continue };
-                let is_known_gone =
-                    state.presence == Presence::Gone && instance.stage == LifeStage::Gone;
+                // A host that took the instance for gone before it wrote again did not know.
+                let is_known_gone = state.presence_at(now) == Presence::Gone
+                    && instance.stage == LifeStage::Gone
+                    && state
+                        .evidence
+                        .absent_before
+                        .is_some_and(|absent| absent.supersedes(instance.written_at));
                 if !state.is_usable(now) && (state.listing.leaving || is_known_gone) {
                     host.departed.insert(seen);
                 } else if state.presence == Presence::Listed && state.is_usable(now) {
--- a/crates/policy/tests/store_eras/store_model.rs
+++ b/crates/policy/tests/store_eras/store_model.rs
@@ -42,6 +42,8 @@
     pub(crate) born: u64,
     pub(crate) stage: LifeStage,
     pub(crate) seq: u64,
+    /// Offset of its last entry.
+    pub(crate) written_at: StoreOffset,
     next_entry_at: ClockTime,
     next_stage_at: ClockTime,
     // Time at which a lost record is written again.
@@ -70,6 +72,7 @@
             born: 1,
             stage: LifeStage::Ready,
             seq: 0,
+            written_at: StoreOffset::default(),
             next_entry_at: now,
             next_stage_at: now.plus(u64::MAX / 4),
             rewrite_at: None,
@@ -197,8 +200,10 @@
             if !is_rewrite && !is_entry_due {
                 continue;
             }
+            let offset = StoreOffset::new(self.era, self.records.len() as u64);
             let listing = is_alive.then(|| {
                 instance.seq += 1;
+                instance.written_at = offset;
                 instance.next_entry_at = now.plus(ENTRY_INTERVAL_MS);
                 InstanceListing {
                     id: instance.id.as_str().into(),
