Send the whole list if one message can't take the changes at one offset

Cause: a hub that merges the departures of another list gives them one offset.

Change: if a part would end where the reporter already is, the whole list is needed.

The new test fails without the change.

--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -441,6 +441,12 @@
         }
         changes.is_complete = entries.len() <= max_entries;
         entries.truncate(max_entries);
+        let last = entries.last().map(|last| last.changed_offset);
+        if !changes.is_complete && last == Some(reported) {
+            // The part would be the same in the next message.
+            changes.needs_full_list = true;
+            return changes;
+        }
         // The entries are in the order of their offsets: the last one is the newest.
         changes.end_offset = match entries.last() {
             Some(last) if !changes.is_complete => last.changed_offset,
--- a/crates/policy/tests/merged_listings.rs
+++ b/crates/policy/tests/merged_listings.rs
@@ -152,3 +152,21 @@
     hub.advance(offset(2, 10));
     assert_eq!(hub.changes_for(offset(2, 8), 10, 10).entries.len(), 1);
 }
+
+// Guards against a host that gets the same part of many changes at one offset again and again.
+#[test]
+fn more_changes_at_one_offset_than_a_message_takes_need_the_whole_list() {
+    let mut hub = InstanceTable::default();
+    for index in 0..5 {
+        let listing = InstanceListing {
+            id: format!("i-{index}").into(),
+            ..entry(1, 1)
+        };
+        hub.apply_relayed(relayed(offset(2, 4), listing, Presence::Listed), at(0));
+    }
+    hub.finish_full_list(offset(2, 4), |_| true, None, at(0));
+    let first = hub.changes_for(offset(2, 4), 10, 5);
+    assert!(first.is_complete);
+    let parted = hub.changes_for(offset(2, 4), 10, 2);
+    assert!(parted.needs_full_list);
+}
