Use a later start although the copy lists an earlier one

Cause: the store's copy listed an earlier start of the instance, which the host knew to be gone. It took its list to lack the instance and turned down the later start that its hub named, although the copy is from before that start.

Change: the list lacks an instance only if it was read beyond the entry of the known start in its era.

The new test fails without the change.

--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -356,13 +356,15 @@
         })
     }
 
-    /// Whether this list has no start of the instance in `listing`, or an earlier one that is gone.
+    /// Whether this list has no start of the instance in `listing`. The store's copy may list an
+    /// earlier start that counts as gone; such a list is older than the start in `listing`.
     fn lists_no_start(&self, listing: &InstanceListing) -> bool {
         let key = self.index.find_id(&listing.id);
         key.is_none_or(|key| {
             let state = &self.instances[key];
-            state.presence == Presence::Gone
-                && state.listing.started_at_unix_ms < listing.started_at_unix_ms
+            let is_earlier = state.listing.started_at_unix_ms < listing.started_at_unix_ms;
+            let is_gone = state.presence == Presence::Gone;
+            is_earlier && is_gone && state.evidence.is_absent_in(self.next_offset.era)
         })
     }
 
--- a/crates/policy/src/presence_evidence.rs
+++ b/crates/policy/src/presence_evidence.rs
@@ -8,6 +8,7 @@
 //! What two hosts know is joined by the latest of each position. The order and
 //! the number of messages therefore change nothing.
 
+use crate::StoreEra;
 use crate::StoreOffset;
 
 /// Positions in the store's log that tell whether an instance is in the list.
@@ -73,6 +74,12 @@
         absent_before.is_none_or(|absent| !absent.supersedes(self.written_at))
     }
 
+    /// Whether the list of `era` lacks the instance, as far as it is known.
+    pub(crate) fn is_absent_in(self, era: StoreEra) -> bool {
+        let absent_before = self.absent_before.filter(|absent| absent.era == era);
+        absent_before.is_some_and(|absent| !self.read_at.is_at_or_after(absent))
+    }
+
     /// Whether the instance wrote after a list lacked it, if any did.
     pub(crate) fn is_listed(self) -> bool {
         self.outlives(self)
--- a/crates/policy/tests/merged_listings.rs
+++ b/crates/policy/tests/merged_listings.rs
@@ -170,3 +170,18 @@
     let parted = hub.changes_for(offset(2, 4), 10, 2);
     assert!(parted.needs_full_list);
 }
+
+// Guards against a live instance that a host never uses because the store's copy lists an earlier
+// start of it, which the host knows to be gone.
+#[test]
+fn later_start_is_used_while_the_copy_lists_an_earlier_one() {
+    let mut host = table_with(offset(2, 4), entry(1, 1), offset(2, 6));
+    host.apply_removal(offset(2, 9), "i-1", None, at(100));
+    host.advance(offset(2, 10));
+    host.apply_listing(offset(3, 4), entry(1, 1), at(200));
+    host.finish_full_list(offset(3, 7), |_| true, None, at(200));
+    let mut later = kept(offset(2, 12), offset(2, 12), 2);
+    later.listing.started_at_unix_ms = 2;
+    host.apply_full_list(offset(3, 7), vec![later], RELISTING_MS, at(300));
+    assert_eq!(host.usable_count(SERVICE, at(300)), 1);
+}
