Don't spin on a listener while no file descriptor is free

What callers saw: nothing in the record can be tied to it. A host without a free file descriptor would answer nobody, readiness checks included, for as long as one connection waits to be accepted.

Cause: a failed accept was tried again at once, without letting any other task of the thread run; the tasks that would close connections too.

Class: an error that lasts is retried without a pause.

Elsewhere: the RPC server had the same loop and now waits too, by reading alone. The relay and the link proxy of the tests still have it.

--- a/crates/transport/src/connect.rs
+++ b/crates/transport/src/connect.rs
@@ -14,6 +14,9 @@
 /// Most connections that wait to be accepted on one listening socket.
 pub(crate) const LISTEN_BACKLOG: i32 = 1_024;
 
+/// Time after which a listening socket is tried again on which no connection could be accepted.
+pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Milliseconds that sent bytes may stay unacknowledged before the kernel closes the connection.
 ///
 /// Long enough for three retransmissions, and short enough that a dead
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -39,6 +39,7 @@
 use rustix::net::recv;
 
 use crate::ServerStop;
+use crate::connect::ACCEPT_RETRY_DELAY;
 use crate::connect::LISTEN_BACKLOG;
 use crate::connect::close_when_unacknowledged;
 
@@ -160,7 +161,14 @@
         let accept = pin!(listener.accept());
         // An accepted connection comes first, because it would be reset with the operation.
         match select(accept, &mut end).await {
-            Either::Left((accepted, _)) => serve(accepted),
+            Either::Left((accepted, _)) => {
+                let has_failed = accepted.is_err();
+                serve(accepted);
+                if has_failed {
+                    // Without a free file descriptor the next one would fail at once as well.
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
             Either::Right(_) => return,
         }
     }
--- a/crates/transport/src/peer_connection.rs
+++ b/crates/transport/src/peer_connection.rs
@@ -11,6 +11,7 @@
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use compio::runtime::JoinHandle;
+use compio::time::sleep;
 use cyper_core::HyperStream;
 use futures_util::StreamExt;
 use tarpc::client;
@@ -29,6 +30,7 @@
 use crate::RaisedFuture;
 use crate::StopSignal;
 use crate::TransportError;
+use crate::connect::ACCEPT_RETRY_DELAY;
 use crate::connect_from;
 
 /// Largest message in bytes; a host sends its whole snapshot as one message.
@@ -98,6 +100,7 @@
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
