Have operators write before each restore of the soak, and withdraw a key

Change: operators write a version that hosts can still read and one that they cannot before the store goes away, and half of the drill plans withdraw a key, drawn last, so that the other faults stay as they were.

--- a/crates/soak/src/drill_faults.rs
+++ b/crates/soak/src/drill_faults.rs
@@ -109,11 +109,15 @@
 }
 
 /// Takes the store away for `away_ms` and brings it back from a copy that is `age_ms` old.
+///
+/// Operators write a version that hosts can still read and one that they cannot.
 pub(crate) async fn restore_store(fleet: &SoakFleet, away_ms: u64, age_ms: u64) {
+    fleet.write_unrevoked_config();
     fleet.store.set_late(true);
     sleep(Duration::from_millis(LATE_MS)).await;
     fleet.store.set_late(false);
     fleet.store.set_unavailable(true);
+    fleet.write_unrevoked_config();
     sleep(Duration::from_millis(away_ms)).await;
     fleet.store.restore_copy(age_ms, REWRITE_MS);
     fleet.store.set_unavailable(false);
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -243,6 +243,12 @@
         self.store.write_config(&config);
     }
 
+    /// Writes the next configuration version with all keys that were not revoked.
+    pub(crate) fn write_unrevoked_config(&self) {
+        let is_key_revoked = self.history.borrow().revoked_key.is_some();
+        self.write_next_config(!is_key_revoked);
+    }
+
     /// Milliseconds after which hosts give up on a request.
     pub(crate) fn route_timeout_ms(&self) -> u64 {
         route_timeout_ms(self.mode)
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -224,6 +224,13 @@
                 });
             }
         }
+        if rng.random_bool(0.5) {
+            faults.push(PlannedFault {
+                start_ms: rng.random_range(MIN_START_MS..MAX_START_MS),
+                duration_ms: 0,
+                kind: FaultKind::KeyWithdrawn,
+            });
+        }
         faults.sort_by_key(|fault| fault.start_ms);
         SoakPlan { faults }
     }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -250,8 +250,7 @@
         }
         FaultKind::ConfigStorm => {
             while fleet.now_ms() < end_ms {
-                let is_key_revoked = fleet.history.borrow().revoked_key.is_some();
-                fleet.write_next_config(!is_key_revoked);
+                fleet.write_unrevoked_config();
                 sleep(Duration::from_millis(CONFIG_STORM_INTERVAL_MS)).await;
             }
         }
--- a/crates/soak/tests/drill.rs
+++ b/crates/soak/tests/drill.rs
@@ -15,6 +15,7 @@
 use crocushoist_soak::FaultKind;
 use crocushoist_soak::HoldRecord;
 use crocushoist_soak::HostOutage;
+use crocushoist_soak::PlannedFault;
 use crocushoist_soak::SoakPlan;
 use crocushoist_soak::SoakSize;
 use crocushoist_soak::check_promises;
@@ -354,6 +355,7 @@
 /// Guards against draws of the drill mode that change the faults of the series mode.
 #[test]
 fn drill_plan_has_the_faults_of_the_series_and_several_of_each_kind_of_its_own() {
+    let mut withdrawals = 0;
     for seed in 1..=50 {
         let plan = SoakPlan::draw_drill(seed, SIZE);
         assert_eq!(plan, SoakPlan::draw_drill(seed, SIZE));
@@ -369,9 +371,15 @@
             *counter += 1;
             false
         });
+        // A key that the drill mode withdraws comes beside the series.
+        let is_added =
+            |fault: &PlannedFault| fault.kind == FaultKind::KeyWithdrawn && fault.duration_ms == 0;
+        withdrawals += series.iter().filter(|fault| is_added(fault)).count();
+        series.retain(|fault| !is_added(fault));
         assert_eq!(series, SoakPlan::draw_series(seed, SIZE).faults);
         assert!(leaves >= 2 && holds >= 2 && restores >= 2);
     }
+    assert!((15..=35).contains(&withdrawals), "{withdrawals} of 50");
 }
 
 /// Guards against faults of later kinds that change the plan of an earlier seed.
