Offer trials to suspected instances in turn

Seen in a trace with every request logged (trial): from 4 to 9.5 s ten of 180 instances got nothing for over 3.5 s, all of them at the places 78 to 178 of the hub's table, while suspected ones before them got 15 trials each.

Cause: a hub offers two trials in an answer, and took the due instances in the order of its table. Offers of one instance grow to 24 hosts in 300 ms while they stay unused, so the first instances took them all; a host with several offers used that of the first instance too. Class: a scarce good is given out in a fixed order. Now the instance whose last offer is the oldest comes first, and a host draws among its offers.

The model of the existing cases is as it was; it got a number of faulty instances, 0 there.

--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -96,7 +96,7 @@
         let trial = if allow_trial && self.retry_safety == RetrySafety::Idempotent {
             self.select_trial(draws)
         } else {
-            self.find_trial(|offer| offer.is_required)
+            self.find_trial(draws.1, |offer| offer.is_required)
         };
         trial.or_else(|| self.select_by_cost(draws.1))
     }
@@ -104,7 +104,7 @@
     /// Selects a suspected instance for a trial request: one that the hub offered, or one
     /// drawn with two random numbers from 0 to 1.
     fn select_trial(&self, draws: (f64, f64)) -> Option<InstanceKey> {
-        let offered = self.find_trial(|_| true);
+        let offered = self.find_trial(draws.1, |_| true);
         if offered.is_some() || self.has_hub {
             return offered;
         }
@@ -122,12 +122,15 @@
         suspects.get(index).copied()
     }
 
-    /// Instance whose trial the hub offered to this host and that `accepts` permits.
-    fn find_trial(&self, accepts: impl Fn(TrialOffer) -> bool) -> Option<InstanceKey> {
-        let mut candidates = self.candidates.iter();
-        let offered =
-            candidates.find(|candidate| candidate.state.trial(self.now).is_some_and(&accepts));
-        offered.map(|candidate| candidate.key)
+    /// Instance whose trial the hub offered to this host and that `accepts` permits, drawn with a
+    /// random number from 0 to 1.
+    fn find_trial(&self, draw: f64, accepts: impl Fn(TrialOffer) -> bool) -> Option<InstanceKey> {
+        let is_offered = |candidate: &&InstanceCandidate<'_>| {
+            candidate.state.trial(self.now).is_some_and(&accepts)
+        };
+        let offered: Vec<_> = self.candidates.iter().filter(is_offered).collect();
+        let index = (draw * offered.len() as f64) as usize;
+        offered.get(index).map(|candidate| candidate.key)
     }
 
     /// Selects an instance by expected cost, with a random number from 0 to 1.
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -595,22 +595,21 @@
         now: ClockTime,
     ) -> Vec<TrialOffer> {
         let endangered = self.endangered_services(now);
+        let is_due = |state: &&mut InstanceState| {
+            state.listing.data_centre == data_centre
+                && state.accepts_requests(now)
+                && state.trial_round.is_due(now)
+                && (state.is_new() || state.fault_probability(now) >= SUSPECT_PROBABILITY)
+        };
+        let mut due: Vec<_> = self.instances.values_mut().filter(is_due).collect();
+        // In the order of the table, the first instances would take all offers of a busy hub.
+        due.sort_by_key(|state| state.trial_round.offered_at());
         let mut offers = Vec::new();
-        for state in self.instances.values_mut() {
+        for state in due {
             if offers.len() == max_count {
                 break;
             }
-            let is_candidate = state.listing.data_centre == data_centre
-                && state.accepts_requests(now)
-                && state.trial_round.is_due(now);
-            if !is_candidate {
-                continue;
-            }
             let is_new = state.is_new();
-            let is_suspected = state.fault_probability(now) >= SUSPECT_PROBABILITY;
-            if !is_new && !is_suspected {
-                continue;
-            }
             let is_endangered = endangered.contains(&state.listing.service);
             let round = &mut state.trial_round;
             let kind = if is_new || (round.is_overdue() && is_endangered) {
--- a/crates/policy/src/trial_offers.rs
+++ b/crates/policy/src/trial_offers.rs
@@ -28,7 +28,7 @@
             }
             round.start(kind, self.width_mut(kind).offers(), now);
         }
-        round.take_offer()
+        round.take_offer(now)
     }
 
     /// Records a request to the instance with `round` and whether it got a response.
--- a/crates/policy/src/trial_round.rs
+++ b/crates/policy/src/trial_round.rs
@@ -50,6 +50,8 @@
     kind: Option<TrialKind>,
     /// Offers left in the current round.
     remaining: u32,
+    /// Time of the last offer.
+    offered_at: ClockTime,
     /// Number of rounds since the last request.
     unused_rounds: u32,
 }
@@ -62,6 +64,7 @@
             ends_at: ClockTime::default(),
             kind: None,
             remaining: 0,
+            offered_at: ClockTime::default(),
             unused_rounds: 0,
         }
     }
@@ -109,9 +112,15 @@
         self.remaining = offers;
     }
 
+    /// Time of the last offer, of any round.
+    pub(crate) fn offered_at(&self) -> ClockTime {
+        self.offered_at
+    }
+
     /// Takes one offer of the round, `None` if none is left.
-    pub(crate) fn take_offer(&mut self) -> Option<TrialKind> {
+    pub(crate) fn take_offer(&mut self, now: ClockTime) -> Option<TrialKind> {
         self.remaining = self.remaining.checked_sub(1)?;
+        self.offered_at = now;
         self.kind
     }
 }
--- a/crates/policy/tests/floor_under_failures.rs
+++ b/crates/policy/tests/floor_under_failures.rs
@@ -36,7 +36,9 @@
 struct Centre {
     hosts: usize,
     instances: u64,
-    /// Instances that failed until the start and answer well since.
+    /// Instances that fail all the time, listed before all others.
+    faulty: usize,
+    /// Instances that failed until the start and answer well since, listed after these.
     recovered: usize,
     /// Requests a second that may run once, and that may run again.
     at_most_once_per_s: f64,
@@ -54,7 +56,8 @@
     let start = ClockTime::from_millis(BOOT_MS);
     let mut hub = new_table(centre.instances, start);
     let keys: Vec<InstanceKey> = hub.iter().map(|(key, _)| key).collect();
-    for key in &keys[..centre.recovered] {
+    let recovered = centre.faulty..centre.faulty + centre.recovered;
+    for key in &keys[..recovered.end] {
         for _ in 0..4 {
             hub.record_outcome(*key, AttemptOutcome::Failed, 5, start);
         }
@@ -101,11 +104,17 @@
         );
         let key = chosen.expect("instances are listed");
         host.release(key);
-        if let Some(tried) = was_tried.get_mut(key.as_u32() as usize) {
-            *tried |= millis >= 2_000;
+        let index = key.as_u32() as usize;
+        if recovered.contains(&index) {
+            was_tried[index - recovered.start] |= millis >= 2_000;
             to_recovered += 1;
         } else {
-            let is_served = rng.random::<f64>() >= centre.failure_rate;
+            let failure_rate = if index < centre.faulty {
+                1.0
+            } else {
+                centre.failure_rate
+            };
+            let is_served = rng.random::<f64>() >= failure_rate;
             let outcome = if is_served {
                 AttemptOutcome::Good
             } else {
@@ -121,15 +130,15 @@
 
 #[parameterized(
     only_at_most_once = { Centre {
-        hosts: 23, instances: 15, recovered: 4, at_most_once_per_s: 60.0, idempotent_per_s: 0.0,
+        hosts: 23, instances: 15, faulty: 0, recovered: 4, at_most_once_per_s: 60.0, idempotent_per_s: 0.0,
         failure_rate: 0.2, has_retries: true,
     } },
     many_hosts_with_few_requests = { Centre {
-        hosts: 62, instances: 32, recovered: 8, at_most_once_per_s: 83.0, idempotent_per_s: 39.0,
+        hosts: 62, instances: 32, faulty: 0, recovered: 8, at_most_once_per_s: 83.0, idempotent_per_s: 39.0,
         failure_rate: 0.2, has_retries: true,
     } },
     no_retries_left = { Centre {
-        hosts: 62, instances: 32, recovered: 8, at_most_once_per_s: 83.0, idempotent_per_s: 39.0,
+        hosts: 62, instances: 32, faulty: 0, recovered: 8, at_most_once_per_s: 83.0, idempotent_per_s: 39.0,
         failure_rate: 0.2, has_retries: false,
     } },
 )]
@@ -143,11 +152,44 @@
     }
 }
 
+/// Guards against trials that only reach the instances listed first, while those listed later
+/// recover.
+#[parameterized(
+    half_faulty = { 30, 40.0, 0.0 },
+    two_thirds_faulty = { 40, 60.0, 0.0 },
+    few_idempotent = { 30, 20.0, 100.0 },
+    few_idempotent_and_two_thirds_faulty = { 40, 30.0, 80.0 },
+)]
+fn recovered_instances_get_requests_beside_many_faulty_ones(
+    faulty: usize,
+    idempotent_per_s: f64,
+    at_most_once_per_s: f64,
+) {
+    let centre = Centre {
+        hosts: 31,
+        instances: 60,
+        faulty,
+        recovered: 8,
+        at_most_once_per_s,
+        idempotent_per_s,
+        failure_rate: 0.0,
+        has_retries: true,
+    };
+    for seed in 0..SEEDS {
+        let (share, _) = play_recovery(centre, seed);
+        assert!(
+            share >= FLOOR_SHARE,
+            "seed {seed}: {share:.2} of the recovered instances got a request"
+        );
+    }
+}
+
 #[test]
 fn at_most_once_requests_are_no_trials_while_few_fail() {
     let centre = Centre {
         hosts: 23,
         instances: 15,
+        faulty: 0,
         recovered: 1,
         at_most_once_per_s: 60.0,
         idempotent_per_s: 0.0,
