Tell a request that was read from one that was never sent

The soak and the trials take a failed connect for a request that no host has read, and check nothing.

Cause: after a kept connection turned out to be closed before the request was written, the client sends the request on a new one, and reported every failure of that as a failed connect, also one after the request was written.

Class: a certain outcome is claimed from an uncertain one.

Change: only a request of which nothing was written counts as not sent.

Mended by reading alone. The new test plays a server that closes a kept connection and then reads the next request without a response; it passes on the code before too, because the client noticed the close before it sent, or wrote before it noticed. The moment between the two was not hit.

--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -143,10 +143,11 @@
             Err(AttemptFailure::NotWritten(request)) => {
                 connection =
                     UpstreamConnection::connect(self.source, self.address, self.timeout_ms).await?;
-                connection
-                    .send(*request)
-                    .await
-                    .map_err(|_| self.connection_reset())?
+                let outcome = connection.send(*request).await;
+                outcome.map_err(|failure| match failure {
+                    AttemptFailure::NotWritten(_) => self.connection_reset(),
+                    AttemptFailure::MaybeWritten(error) => error,
+                })?
             }
         };
         let (head, body) = response.into_parts();
