Keep what an instance asked for when a later start of it is listed

Cause: a host reads of a new start of an instance only after it has sent requests to it, and a listed later start replaced all that was known, also the time for which this start wants nothing.

Change: the time carries over to the later start. A host cannot tell which start said it; if it was the earlier one, this host alone leaves the new one alone until that time is over.

Ruled out: times in the list, which the instances do not write there.

The same loss of a departure that a new start states before it is listed is open: it cannot carry over, because most later starts follow a departure of the one before.

--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -187,8 +187,7 @@
             return ListingChange::Unchanged;
         }
         if listing.started_at_unix_ms > known.started_at_unix_ms {
-            self.remove_member(key);
-            return self.insert(relayed, now);
+            return self.insert_later_start(key, relayed, now);
         }
         let presence_before = state.presence_at(now);
         let absent_before = state.evidence.absent_before;
@@ -886,6 +885,26 @@
         change
     }
 
+    /// Inserts a later start of the instance `key`.
+    ///
+    /// A host may read of a start only after it has sent requests to it, so what it was told
+    /// under that id holds for the later start too.
+    fn insert_later_start(
+        &mut self,
+        key: InstanceKey,
+        relayed: RelayedListing,
+        now: ClockTime,
+    ) -> ListingChange {
+        let hold_until = self.instances[key].hold_until();
+        let id = relayed.listing.id.clone();
+        self.remove_member(key);
+        let change = self.insert(relayed, now);
+        if let Some(key) = self.index.find_id(&id) {
+            self.instances[key].start_hold(hold_until, now);
+        }
+        change
+    }
+
     /// Removes an earlier start of an instance from its service.
     fn remove_member(&mut self, key: InstanceKey) {
         let state = &mut self.instances[key];
