Bind a later start by a hold that was said before or arrives after it is listed

A response to a request that was sent before the later start was listed set the hold of the replaced state, where nothing reads it.

Change: such a hold is set at the start listed last, and every state that replaces another one of the same id, also one of another service, takes the hold over.

Evidence: hold_that_arrives_after_a_new_start_was_listed_binds_that_start failed before and passes now.

--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -187,7 +187,8 @@
             return ListingChange::Unchanged;
         }
         if listing.started_at_unix_ms > known.started_at_unix_ms {
-            return self.insert_later_start(key, relayed, now);
+            self.remove_member(key);
+            return self.insert(relayed, now);
         }
         let presence_before = state.presence_at(now);
         let absent_before = state.evidence.absent_before;
@@ -515,7 +516,10 @@
     /// Records that the instance `key` wants no requests from this host for `hold_ms`; returns
     /// whether it did not say so lately.
     pub fn record_hold(&mut self, key: InstanceKey, hold_ms: u64, now: ClockTime) -> bool {
-        self.instances[key].start_hold(now.plus(hold_ms), now)
+        // The request may have been sent before a later start was listed.
+        let latest = self.index.find_id(&self.instances[key].listing.id);
+        let state = &mut self.instances[latest.unwrap_or(key)];
+        state.start_hold(now.plus(hold_ms), now)
     }
 
     /// Time at which the first instance of `service` wants requests again; `None` if one wants
@@ -871,7 +875,13 @@
 
     fn insert(&mut self, relayed: RelayedListing, now: ClockTime) -> ListingChange {
         let latency_ms = self.mean_latency_ms(&relayed.listing.service, now);
+        let earlier = self.index.find_id(&relayed.listing.id);
+        let hold_until = earlier.map(|key| self.instances[key].hold_until());
         let mut state = InstanceState::new(relayed, latency_ms, now);
+        // This start may have asked for the hold before this host read of it.
+        if let Some(until) = hold_until {
+            state.start_hold(until, now);
+        }
         if self.departures.contains(state.departure_notice()) {
             state.record_departure();
         }
@@ -885,26 +895,6 @@
         change
     }
 
-    /// Inserts a later start of the instance `key`.
-    ///
-    /// A host may read of a start only after it has sent requests to it, so what it was told
-    /// under that id holds for the later start too.
-    fn insert_later_start(
-        &mut self,
-        key: InstanceKey,
-        relayed: RelayedListing,
-        now: ClockTime,
-    ) -> ListingChange {
-        let hold_until = self.instances[key].hold_until();
-        let id = relayed.listing.id.clone();
-        self.remove_member(key);
-        let change = self.insert(relayed, now);
-        if let Some(key) = self.index.find_id(&id) {
-            self.instances[key].start_hold(hold_until, now);
-        }
-        change
-    }
-
     /// Removes an earlier start of an instance from its service.
     fn remove_member(&mut self, key: InstanceKey) {
         let state = &mut self.instances[key];
--- a/crates/policy/tests/late_starts.rs
+++ b/crates/policy/tests/late_starts.rs
@@ -58,3 +58,23 @@
     );
     assert!(is_chosen(&mut table, at(2_000)), "its time is over");
 }
+
+/// Guards against requests to an instance that asked for none, in a response that arrives only after
+/// its new start was listed.
+#[test]
+fn hold_that_arrives_after_a_new_start_was_listed_binds_that_start() {
+    let mut table = new_table(1, at(0));
+    let earlier = only_key(&table);
+    let listing = InstanceListing {
+        started_at_unix_ms: 2,
+        seq: 1,
+        ..table.get(earlier).listing.clone()
+    };
+    table.apply_listing(StoreOffset::new(StoreEra::default(), 10), listing, at(500));
+    table.record_hold(earlier, 2_000, at(600));
+    assert!(
+        !is_chosen(&mut table, at(700)),
+        "the instance wants nothing"
+    );
+    assert!(is_chosen(&mut table, at(2_700)), "its time is over");
+}
