Count a call of the soak from its sending, not from its connecting

Found by a reviewer of the incident: a call counted as sent up to a second early, while its connection was still being opened. So a call cut off with time left counted as out of time, and one sent later than 3 s after SIGTERM as sent before, and both were excused. The checks are as they were, with the stricter time.

--- a/crates/soak/src/lasting_callers.rs
+++ b/crates/soak/src/lasting_callers.rs
@@ -177,6 +177,8 @@
                 None => return false,
             },
         };
+        // The time for which the connection was opened excuses no host.
+        record.sent_ms = self.fleet.now_ms();
         record.host = self.fleet.host_at(connection.address());
         record.is_kept = connection.response_count > 0;
         let key = workspace_key(self.workspace);
