Take the handlers of a process for known instead of its age

Found by a reviewer of the incident: the soak excused an exit by a signal in the first second of a process, and sent no SIGHUP in that time. Handlers stand long before.

Change: before a signal is sent, the soak reads from the system whether the process handles it. Only a process that does not handle signals yet may end by one.

--- a/crates/soak/src/series_faults.rs
+++ b/crates/soak/src/series_faults.rs
@@ -22,16 +22,21 @@
 /// Longest time in milliseconds between two signals to a stopping host.
 const MAX_SIGNAL_GAP_MS: u64 = 700;
 
-/// Milliseconds after the start of a process in which no series of SIGHUP is sent to it, as it
-/// may not have installed its handlers.
-const START_MS: u64 = 1_000;
-
 /// Milliseconds between two stops of whichever host runs longest.
 const MIN_STOP_GAP_MS: u64 = 50;
 
 /// Milliseconds for which instances go on failing after all hosts have restarted.
 const FAULT_AFTER_RESTART_MS: u64 = 4_000;
 
+/// Asks a host to read its settings again, if its process handles the signal already.
+fn reload_host(fleet: &SoakFleet, host: usize) -> std::io::Result<()> {
+    let mut process = fleet.hosts[host].process.borrow_mut();
+    if process.handles_signals() {
+        process.request_reload()?;
+    }
+    Ok(())
+}
+
 /// Injects a fault that only the series mode has; does nothing for any other.
 pub(crate) async fn inject_series_fault(
     fleet: &Rc<SoakFleet>,
@@ -52,10 +57,7 @@
         FaultKind::ReloadSeries(host, max_gap_ms) => {
             let mut rng = ChaCha8Rng::seed_from_u64(max_gap_ms);
             while fleet.now_ms() < end_ms {
-                let soak_host = &fleet.hosts[host];
-                if fleet.now_ms() > soak_host.started_ms.get() + START_MS {
-                    soak_host.process.borrow_mut().request_reload()?;
-                }
+                reload_host(fleet, host)?;
                 sleep(Duration::from_millis(rng.random_range(0..=max_gap_ms))).await;
             }
         }
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -74,9 +74,6 @@
 /// Milliseconds that a host may take for a readiness check.
 const READY_CHECK_MS: u64 = 900;
 
-/// Milliseconds after the start of a process in which a signal may end it at once.
-const START_MS: u64 = 1_000;
-
 /// Milliseconds within which all hosts must be ready after the start.
 const READY_TIMEOUT_MS: u64 = 15_000;
 
@@ -102,6 +99,8 @@
     pub(crate) down_count: Cell<u32>,
     /// When the process was started, in milliseconds.
     pub(crate) started_ms: Cell<u64>,
+    /// Whether the process handled signals when it was first asked to stop.
+    handled_stop: Cell<bool>,
     /// When the process was first asked to stop, in milliseconds, until its exit is recorded.
     pub(crate) stop_asked_ms: Cell<Option<u64>>,
 }
@@ -187,6 +186,7 @@
                 process: RefCell::new(process),
                 down_count: Cell::new(0),
                 started_ms: Cell::new(0),
+                handled_stop: Cell::new(false),
                 stop_asked_ms: Cell::new(None),
             });
         }
@@ -274,6 +274,8 @@
         let host = &self.hosts[index];
         if host.stop_asked_ms.get().is_none() {
             host.stop_asked_ms.set(Some(self.now_ms()));
+            let handles_signals = host.process.borrow().handles_signals();
+            host.handled_stop.set(handles_signals);
         }
         host.process.borrow_mut().request_stop()
     }
@@ -281,7 +283,7 @@
     /// Records the planned stop of a host whose process has ended; does nothing otherwise.
     ///
     /// An exit by another signal than SIGKILL or with an error counts as unexpected, unless the
-    /// process had just been started.
+    /// process had not installed its handlers yet when it was asked to stop.
     pub(crate) fn record_stop(&self, index: usize) {
         let host = &self.hosts[index];
         let Some(status) = host.process.borrow_mut().exit_status() else {
@@ -297,7 +299,7 @@
             is_planned: true,
         });
         let is_killed = status.signal() == Some(SIGKILL);
-        if !status.success() && !is_killed && asked_ms >= host.started_ms.get() + START_MS {
+        if !status.success() && !is_killed && host.handled_stop.get() {
             history.unexpected_exits.push(index);
         }
     }
