--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,6 +17,7 @@
 mod process_signal;
 mod request_body;
 mod response_body;
+mod server_connection;
 mod server_stop;
 mod stop_signal;
 mod transport_error;
