Log what makes an instance suspected, and by whom it was observed

The record of the hosts without a path shows fault probabilities of 80% at instances that other hosts used, but not whether failed connections of cut hosts or responses raised them. Hosts now log 'instance suspected' with the outcomes behind it, count outcomes by kind and observer, and export the number of suspected instances. Decisions are unchanged.

--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -203,12 +203,20 @@
             .metrics
             .evidence_age_ms
             .set(age.map_or(-1, |age| age as i64));
-        let usable = context.instances.borrow().usable(now).count();
-        context.metrics.usable_instances.set(usable as i64);
+        update_instance_gauges(&context, now);
         sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
     }
 }
 
+fn update_instance_gauges(context: &EdgeContext, now: ClockTime) {
+    let table = context.instances.borrow();
+    let usable = table.usable(now).count();
+    context.metrics.usable_instances.set(usable as i64);
+    let suspected = table.usable(now).filter(|state| state.is_suspected(now));
+    let suspected = suspected.count();
+    context.metrics.suspected_instances.set(suspected as i64);
+}
+
 /// Checks the settings file again on each reload signal; changes take effect at the next start.
 async fn reload_on_signal(context: SharedContext, mut reload: ProcessSignal, path: String) {
     loop {
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -27,6 +27,13 @@
     paid_by: &'static str,
 }
 
+/// Label of outcomes at instances by the host that observed them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    reason: &'static str,
+    seen_by: &'static str,
+}
+
 /// Label of histograms by kind of route.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabel {
@@ -44,6 +51,7 @@
     denied_retries: Family<ReasonLabel, Counter>,
     store_calls: Family<ReasonLabel, Counter>,
     signals: Family<ReasonLabel, Counter>,
+    outcomes: Family<OutcomeLabel, Counter>,
     latency: Family<KindLabel, Histogram>,
     /// Version of the configuration in force.
     pub(crate) config_version: Gauge,
@@ -57,6 +65,8 @@
     pub(crate) era_catch_up_ms: Gauge,
     /// Number of instances that accept requests.
     pub(crate) usable_instances: Gauge,
+    /// Number of these that are suspected to be faulty.
+    pub(crate) suspected_instances: Gauge,
 }
 
 impl Default for EdgeMetrics {
@@ -69,6 +79,7 @@
         let denied_retries = Family::default();
         let store_calls = Family::default();
         let signals = Family::default();
+        let outcomes = Family::default();
         let latency = Family::<KindLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(LATENCY_BUCKETS_S)
         });
@@ -78,6 +89,7 @@
         let era_changes = Counter::default();
         let era_catch_up_ms = Gauge::default();
         let usable_instances = Gauge::default();
+        let suspected_instances = Gauge::default();
         registry.register("answers", "Answers by outcome", responses.clone());
         registry.register("refusals", "Refusals by reason", refusals.clone());
         registry.register("attempts", "Attempts at instances by end", attempts.clone());
@@ -101,6 +113,11 @@
             "What instances said about themselves, by kind",
             signals.clone(),
         );
+        registry.register(
+            "instance_outcomes",
+            "Outcomes that count for the fault estimates, by the host that observed them",
+            outcomes.clone(),
+        );
         registry.register("answer_seconds", "Time to the answer", latency.clone());
         registry.register(
             "config_version",
@@ -128,6 +145,11 @@
             "Instances that take requests",
             usable_instances.clone(),
         );
+        registry.register(
+            "suspected_instances",
+            "Instances that take requests and are suspected to be faulty",
+            suspected_instances.clone(),
+        );
         EdgeMetrics {
             registry,
             responses,
@@ -137,6 +159,7 @@
             denied_retries,
             store_calls,
             signals,
+            outcomes,
             latency,
             config_version,
             evidence_age_ms,
@@ -144,6 +167,7 @@
             era_changes,
             era_catch_up_ms,
             usable_instances,
+            suspected_instances,
         }
     }
 }
@@ -189,6 +213,14 @@
         self.signals.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts outcomes by kind, and whether this host or another one observed them.
+    pub(crate) fn count_outcomes(&self, reason: &'static str, seen_by: &'static str, count: u32) {
+        if count > 0 {
+            let label = OutcomeLabel { reason, seen_by };
+            self.outcomes.get_or_create(&label).inc_by(u64::from(count));
+        }
+    }
+
     /// Records the milliseconds until the response on a route of `kind`.
     pub(crate) fn observe_latency(&self, kind: &'static str, millis: u64) {
         self.latency
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -156,7 +156,7 @@
         aggregator.add_outcomes(instance, &counts);
         // The table applied the outcomes of this host's own attempts when they were observed.
         if !is_own_report {
-            table.record_outcome_counts(instance, &counts, now);
+            record_told_outcomes(context, &mut table, peer_address, instance, &counts, now);
         }
     }
 }
@@ -526,7 +526,35 @@
     }
     for wire in &summary.outcomes {
         let (instance, counts): (u32, OutcomeCounts) = wire.into();
-        table.record_outcome_counts(instance, &counts, now);
+        record_told_outcomes(context, &mut table, peer_address, instance, &counts, now);
+    }
+}
+
+/// Records outcomes at the instance with the hash `instance` that the host at `peer` told, and
+/// logs if the instance is suspected to be faulty from then on.
+fn record_told_outcomes(
+    context: &EdgeContext,
+    table: &mut InstanceTable,
+    peer: SocketAddr,
+    instance: u32,
+    counts: &OutcomeCounts,
+    now: ClockTime,
+) {
+    let Some(key) = table.find_hash(instance) else {
+        return;
+    };
+    let was_suspected = table.is_suspected(key, now);
+    table.record_outcome_counts(instance, counts, now);
+    for (outcome, count) in counts.by_outcome() {
+        let metrics = &context.metrics;
+        metrics.count_outcomes(outcome.name(), "another_host", count);
+    }
+    if !was_suspected && table.is_suspected(key, now) {
+        let state = table.get(key);
+        info!(context.logger, "instance suspected"; "instance" => state.listing.id.as_str(),
+            "service" => state.listing.service.as_str(), "peer" => peer.to_string(),
+            "good" => counts.good, "late" => counts.late, "failed" => counts.failed,
+            "unreachable" => counts.unreachable);
     }
 }
 
--- a/crates/edge/src/in_flight_guard.rs
+++ b/crates/edge/src/in_flight_guard.rs
@@ -144,8 +144,17 @@
 
     fn record_outcome(&self, outcome: AttemptOutcome) {
         let elapsed_ms = self.elapsed_ms();
+        let now = ClockTime::now();
         let mut table = self.context.instances.borrow_mut();
-        table.record_outcome(self.key, outcome, elapsed_ms, ClockTime::now());
+        let was_suspected = table.is_suspected(self.key, now);
+        table.record_outcome(self.key, outcome, elapsed_ms, now);
+        let metrics = &self.context.metrics;
+        metrics.count_outcomes(outcome.name(), "this_host", 1);
+        if !was_suspected && table.is_suspected(self.key, now) {
+            let listing = &table.get(self.key).listing;
+            info!(self.context.logger, "instance suspected"; "instance" => listing.id.as_str(),
+                "service" => listing.service.as_str(), "cause" => outcome.name());
+        }
     }
 }
 
--- a/crates/policy/src/fault_estimate.rs
+++ b/crates/policy/src/fault_estimate.rs
@@ -34,6 +34,16 @@
 }
 
 impl AttemptOutcome {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            AttemptOutcome::Good => "good",
+            AttemptOutcome::Late => "late",
+            AttemptOutcome::Failed => "failed",
+            AttemptOutcome::Unreachable => "unreachable",
+        }
+    }
+
     /// Likelihoods of the outcome at a healthy and at a faulty instance.
     fn likelihoods(self) -> (f64, f64) {
         match self {
--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -111,7 +111,7 @@
         let suspects: Vec<InstanceKey> = self
             .candidates
             .iter()
-            .filter(|candidate| candidate.state.fault_probability(self.now) >= SUSPECT_PROBABILITY)
+            .filter(|candidate| candidate.state.is_suspected(self.now))
             .map(|candidate| candidate.key)
             .collect();
         let fraction = (suspects.len() as f64 * TRIAL_FRACTION).min(MAX_TRIAL_FRACTION);
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -12,6 +12,7 @@
 use crate::RelayedListing;
 use crate::StoreOffset;
 use crate::TrialOffer;
+use crate::instance_selector::SUSPECT_PROBABILITY;
 use crate::name_hash;
 use crate::trial_round::OFFER_VALID_MS;
 use crate::trial_round::TrialRound;
@@ -186,6 +187,11 @@
         self.estimate.probability(now)
     }
 
+    /// Whether the instance is suspected to be faulty.
+    pub fn is_suspected(&self, now: ClockTime) -> bool {
+        self.fault_probability(now) >= SUSPECT_PROBABILITY
+    }
+
     /// Whether all hosts that tried lately could connect, as far as this host knows.
     pub(crate) fn is_reachable(&self, now: ClockTime) -> bool {
         self.last_unreachable_at
@@ -304,13 +310,7 @@
                 self.record_latency(f64::from(mean));
             }
         }
-        let outcomes = [
-            (AttemptOutcome::Good, counts.good),
-            (AttemptOutcome::Late, counts.late),
-            (AttemptOutcome::Failed, counts.failed),
-            (AttemptOutcome::Unreachable, counts.unreachable),
-        ];
-        for (outcome, count) in outcomes {
+        for (outcome, count) in counts.by_outcome() {
             for _ in 0..count {
                 self.estimate.record_outcome(outcome, now);
             }
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -43,7 +43,6 @@
 use crate::instance_index::InstanceIndex;
 use crate::instance_selector::InstanceCandidate;
 use crate::instance_selector::InstanceSelector;
-use crate::instance_selector::SUSPECT_PROBABILITY;
 use crate::instance_selector::prefer_past_backoff;
 use crate::name_hash;
 use crate::service_counts::ServiceLoad;
@@ -589,7 +588,7 @@
             state.listing.data_centre == data_centre
                 && state.accepts_requests(now)
                 && state.trial_round.is_due(now)
-                && (state.is_new() || state.fault_probability(now) >= SUSPECT_PROBABILITY)
+                && (state.is_new() || state.is_suspected(now))
         };
         let mut due: Vec<_> = self.instances.values_mut().filter(is_due).collect();
         // In the order of the table, the first instances would take all offers of a busy hub.
@@ -628,8 +627,8 @@
             }
             let members = self.usable_members(service, now);
             let reachable = members.filter(|(_, state)| state.is_reachable(now));
-            let (suspected, healthy): (Vec<_>, Vec<_>) = reachable
-                .partition(|(_, state)| state.fault_probability(now) >= SUSPECT_PROBABILITY);
+            let (suspected, healthy): (Vec<_>, Vec<_>) =
+                reachable.partition(|(_, state)| state.is_suspected(now));
             if suspected.len() as f64 > healthy.len() as f64 * MAX_UNTRIED_RATIO {
                 services.push(service.clone());
             }
@@ -709,7 +708,7 @@
 
     /// Whether the instance `key` is suspected to be faulty.
     pub fn is_suspected(&self, key: InstanceKey, now: ClockTime) -> bool {
-        self.instances[key].fault_probability(now) >= SUSPECT_PROBABILITY
+        self.instances[key].is_suspected(now)
     }
 
     /// Records the outcome of an attempt by this host.
@@ -780,9 +779,7 @@
     pub fn min_queue_per_slot(&self, service: &str, now: ClockTime) -> Option<f64> {
         self.usable_members(service, now)
             .filter(|(_, state)| {
-                state.is_past_backoff(now)
-                    && !state.is_on_hold(now)
-                    && state.fault_probability(now) < SUSPECT_PROBABILITY
+                state.is_past_backoff(now) && !state.is_on_hold(now) && !state.is_suspected(now)
             })
             .map(|(_, state)| state.queue_per_slot())
             .reduce(f64::min)
--- a/crates/policy/src/outcome_counts.rs
+++ b/crates/policy/src/outcome_counts.rs
@@ -1,5 +1,7 @@
 //! Numbers of attempts at an instance by outcome.
 
+use crate::AttemptOutcome;
+
 /// Numbers of attempts by outcome since the last report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OutcomeCounts {
@@ -14,3 +16,15 @@
     /// Sum of the latencies of complete responses, in milliseconds.
     pub latency_sum_ms: u32,
 }
+
+impl OutcomeCounts {
+    /// Number of attempts by outcome.
+    pub fn by_outcome(&self) -> [(AttemptOutcome, u32); 4] {
+        [
+            (AttemptOutcome::Good, self.good),
+            (AttemptOutcome::Late, self.late),
+            (AttemptOutcome::Failed, self.failed),
+            (AttemptOutcome::Unreachable, self.unreachable),
+        ]
+    }
+}
