--- a/crates/soak/src/drill_faults.rs
+++ b/crates/soak/src/drill_faults.rs
@@ -12,9 +12,9 @@
 
 use crocushoist_platform_standin::InstanceFault;
 
-use crate::link_proxy::LinkState;
 use crate::soak_fleet::SoakFleet;
 use crate::soak_run::sleep_until;
+use crocushoist_platform_standin::LinkState;
 
 /// Milliseconds, at most, that an instance goes on after it said that it leaves.
 const MAX_LEAVING_MS: u64 = 5_000;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,7 +19,6 @@
 mod caller_load;
 mod drill_faults;
 mod lasting_callers;
-mod link_proxy;
 mod notice_check;
 mod promise_check;
 mod series_faults;
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -37,11 +37,11 @@
 use crate::SoakMode;
 use crate::SoakSize;
 use crate::caller_load::workspace_key;
-use crate::link_proxy::LinkProxy;
 use crate::promise_check::LIMIT_BURST;
 use crate::promise_check::LIMIT_PER_S;
 use crate::promise_check::LIMITED_WORKSPACE;
 use crate::version_check::VERSION_WORKSPACE;
+use crocushoist_platform_standin::LinkProxy;
 
 /// Host name in the callers' requests, by which the fleet selects the route.
 pub(crate) const HOST_NAME: &str = "ledger.example";
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -27,7 +27,6 @@
 use crate::drill_faults::leave_instances;
 use crate::drill_faults::restore_store;
 use crate::lasting_callers::run_lasting_caller;
-use crate::link_proxy::LinkState;
 use crate::promise_check::LIMITED_WORKSPACE;
 use crate::promise_check::RECOVERY_MS;
 use crate::promise_check::RECOVERY_WINDOW_MS;
@@ -35,6 +34,7 @@
 use crate::soak_fleet::REVOCABLE_WORKSPACE;
 use crate::soak_fleet::SoakFleet;
 use crate::stop_check::GRACE_MS;
+use crocushoist_platform_standin::LinkState;
 
 /// Milliseconds between checks whether a stopping host has exited.
 const EXIT_POLL_MS: u64 = 20;
