Keep what a host without a path observes from the fleet's estimates

Callers of hosts that reach every instance were refused as overloaded while other hosts had lost their path. Two reports of a cut host counted against instances: failed connections and silent attempts as faults, and requests that never got a connection as load.

A failure without any response now counts once this host has reached as many other instances of the service as fail; probes without requests end the doubt soon. Otherwise it expires, and if connections to three instances fail and none opens, the path is lost. Only requests that have a connection are reported as in flight, and none on a lost path.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -24,6 +24,7 @@
 use crocushoist_policy::HubAggregator;
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::LimitIndex;
+use crocushoist_policy::PathMonitor;
 use crocushoist_policy::ReadSharing;
 use crocushoist_policy::RetryAccount;
 use crocushoist_policy::RetryLedger;
@@ -124,6 +125,8 @@
     pub(crate) evidence: RefCell<ConfigEvidence>,
     /// Instances of all services.
     pub(crate) instances: RefCell<InstanceTable>,
+    /// Paths of this host to the instances.
+    pub(crate) paths: RefCell<PathMonitor>,
     /// Time up to which this host knows every change of the instance list.
     pub(crate) listing_synced_at: Cell<Option<ClockTime>>,
     /// When this host last read the instance list from the store.
@@ -219,6 +222,7 @@
             limit_index: RefCell::default(),
             evidence: RefCell::default(),
             instances: RefCell::default(),
+            paths: RefCell::default(),
             listing_synced_at: Cell::new(None),
             listing_read_at: Cell::new(None),
             hub_reads_listing: Cell::new(true),
--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -40,6 +40,7 @@
 use crate::graceful_stop::stop_gracefully;
 use crate::host_signals::HostSignals;
 use crate::listing_reader::follow_listing;
+use crate::path_prober::probe_paths;
 use crate::peer_fetch::fetch_from_peers;
 use crate::peer_server::handle_peer_request;
 use crate::peer_tasks::PeerTasks;
@@ -118,6 +119,7 @@
     spawn(Rc::clone(&peer_tasks).run_receiver());
     spawn(peer_tasks.run_sender());
     spawn(fetch_from_peers(Rc::clone(&context)));
+    spawn(probe_paths(Rc::clone(&context)));
     let shared = Rc::clone(&context);
     spawn(serve_http(
         peers,
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crocushoist_policy::PathChange;
 use crocushoist_policy::RetryPayment;
 
 /// Upper bounds of the latency buckets in seconds; the objectives of the routes are between 0.6
@@ -52,6 +53,7 @@
     store_calls: Family<ReasonLabel, Counter>,
     signals: Family<ReasonLabel, Counter>,
     outcomes: Family<OutcomeLabel, Counter>,
+    path_changes: Family<ReasonLabel, Counter>,
     latency: Family<KindLabel, Histogram>,
     /// Version of the configuration in force.
     pub(crate) config_version: Gauge,
@@ -80,6 +82,7 @@
         let store_calls = Family::default();
         let signals = Family::default();
         let outcomes = Family::default();
+        let path_changes = Family::default();
         let latency = Family::<KindLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(LATENCY_BUCKETS_S)
         });
@@ -118,6 +121,11 @@
             "Outcomes that count for the fault estimates, by the host that observed them",
             outcomes.clone(),
         );
+        registry.register(
+            "path_changes",
+            "Paths to the instances of a service that were lost or came back",
+            path_changes.clone(),
+        );
         registry.register("answer_seconds", "Time to the answer", latency.clone());
         registry.register(
             "config_version",
@@ -160,6 +168,7 @@
             store_calls,
             signals,
             outcomes,
+            path_changes,
             latency,
             config_version,
             evidence_age_ms,
@@ -221,6 +230,16 @@
         }
     }
 
+    /// Counts a lost path to the instances of a service, or one that is back.
+    pub(crate) fn count_path_change(&self, change: PathChange) {
+        let reason = match change {
+            PathChange::Lost => "lost",
+            PathChange::Back => "back",
+        };
+        let label = ReasonLabel { reason };
+        self.path_changes.get_or_create(&label).inc();
+    }
+
     /// Records the milliseconds until the response on a route of `kind`.
     pub(crate) fn observe_latency(&self, kind: &'static str, millis: u64) {
         self.latency
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -99,7 +99,7 @@
         fleet_hash: context.advertised_hosts.borrow().hash,
         uses: uses.iter().map(Into::into).collect(),
         has_all_uses,
-        in_flight: table.in_flight(),
+        in_flight: table.in_flight(|service| context.paths.borrow().is_lost(service)),
         outcomes: table.take_counts().iter().map(Into::into).collect(),
         used_trials: table.take_used_trials(),
         services: table.take_service_counts().iter().map(Into::into).collect(),
--- a/crates/edge/src/in_flight_guard.rs
+++ b/crates/edge/src/in_flight_guard.rs
@@ -9,9 +9,13 @@
 use crocushoist_platform::InstanceSignals;
 use crocushoist_policy::AttemptOutcome;
 use crocushoist_policy::InstanceKey;
+use crocushoist_policy::PathContact;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::SharedContext;
+use crate::path_observer::observe_contact;
+use crate::path_observer::observe_failure;
+use crate::path_observer::observe_outcome;
 
 /// Milliseconds after the log line of an unreadable header in which this host writes no other.
 const UNREADABLE_LOG_INTERVAL_MS: u64 = 10_000;
@@ -19,6 +23,12 @@
 /// Maximum bytes of an unreadable header's value in a log line.
 const MAX_LOGGED_VALUE_BYTES: usize = 40;
 
+/// Counts a request in flight as waiting for a connection until dropped.
+pub(crate) struct ConnectingGuard {
+    context: SharedContext,
+    key: InstanceKey,
+}
+
 /// Counts a request as in flight at an instance until dropped.
 pub(crate) struct InFlightGuard {
     context: SharedContext,
@@ -57,7 +67,7 @@
     pub(crate) fn record_late(&mut self) {
         if !self.is_late {
             self.is_late = true;
-            self.record_outcome(AttemptOutcome::Late);
+            self.record_unconfirmed(AttemptOutcome::Late);
         }
     }
 
@@ -73,11 +83,29 @@
         self.record_outcome(AttemptOutcome::Failed);
     }
 
+    /// Records that the connection ended without any response.
+    pub(crate) fn record_broken_off(&self) {
+        self.record_unconfirmed(AttemptOutcome::Failed);
+    }
+
     /// Records that this host cannot reach the instance.
-    pub(crate) fn record_unreachable(&mut self) {
-        self.record_outcome(AttemptOutcome::Unreachable);
+    pub(crate) fn record_unreachable(&self) {
+        self.record_unconfirmed(AttemptOutcome::Unreachable);
+    }
+
+    /// Counts the request as waiting for a connection until the returned value is dropped.
+    pub(crate) fn start_connecting(&self) -> ConnectingGuard {
         let mut table = self.context.instances.borrow_mut();
-        table.record_unreachable(self.key, ClockTime::now());
+        table.start_connecting(self.key);
+        ConnectingGuard {
+            context: Rc::clone(&self.context),
+            key: self.key,
+        }
+    }
+
+    /// Records that this host reached the instance.
+    pub(crate) fn record_contact(&self, contact: PathContact) {
+        observe_contact(&self.context, self.key, contact);
     }
 
     /// Records that the instance shed the request.
@@ -143,18 +171,12 @@
     }
 
     fn record_outcome(&self, outcome: AttemptOutcome) {
-        let elapsed_ms = self.elapsed_ms();
-        let now = ClockTime::now();
-        let mut table = self.context.instances.borrow_mut();
-        let was_suspected = table.is_suspected(self.key, now);
-        table.record_outcome(self.key, outcome, elapsed_ms, now);
-        let metrics = &self.context.metrics;
-        metrics.count_outcomes(outcome.name(), "this_host", 1);
-        if !was_suspected && table.is_suspected(self.key, now) {
-            let listing = &table.get(self.key).listing;
-            info!(self.context.logger, "instance suspected"; "instance" => listing.id.as_str(),
-                "service" => listing.service.as_str(), "cause" => outcome.name());
-        }
+        observe_outcome(&self.context, self.key, outcome, self.elapsed_ms());
+    }
+
+    /// Records an outcome without any response, which may be a failure of the path.
+    fn record_unconfirmed(&self, outcome: AttemptOutcome) {
+        observe_failure(&self.context, self.key, outcome, self.elapsed_ms());
     }
 }
 
@@ -163,3 +185,9 @@
         self.context.instances.borrow_mut().release(self.key);
     }
 }
+
+impl Drop for ConnectingGuard {
+    fn drop(&mut self) {
+        self.context.instances.borrow_mut().end_connecting(self.key);
+    }
+}
--- a/crates/edge/src/instance_attempt.rs
+++ b/crates/edge/src/instance_attempt.rs
@@ -6,6 +6,7 @@
 //! that says that it is leaving, or wants no requests, is believed from the head of
 //! the response on, whatever the rest is like.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +23,7 @@
 
 use crocushoist_platform::InstanceSignals;
 use crocushoist_platform::names;
+use crocushoist_policy::PathContact;
 use crocushoist_state::ClockTime;
 use crocushoist_transport::AttemptFailure;
 use crocushoist_transport::RequestBody;
@@ -35,7 +37,7 @@
 /// Milliseconds to connect to an instance.
 ///
 /// It ends before a lost first packet would be retransmitted; the attempt then counts as not run.
-const CONNECT_TIMEOUT_MS: u64 = 250;
+pub(crate) const CONNECT_TIMEOUT_MS: u64 = 250;
 
 /// Maximum response body in bytes; the largest responses of the deployed services have 9 KB.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
@@ -131,9 +133,8 @@
     };
     let remaining = input.deadline.saturating_duration_since(Instant::now());
     let connect_timeout_ms = CONNECT_TIMEOUT_MS.min(remaining.as_millis() as u64).max(1);
-    let Ok(mut connection) = context.upstreams.get(address, connect_timeout_ms).await else {
-        guard.record_unreachable();
-        context.upstreams.close_idle(address);
+    let Some(mut connection) = get_connection(context, guard, address, connect_timeout_ms).await
+    else {
         return AttemptResult::NotRun {
             reason: "connect_failed",
             reached_instance: false,
@@ -176,7 +177,7 @@
             reached_instance: false,
         },
         Ok(Err(AttemptFailure::MaybeWritten(_))) => {
-            guard.record_failed();
+            guard.record_broken_off();
             context.upstreams.close_idle(address);
             AttemptResult::MayHaveRun {
                 // The exchange failed before a response head arrived.
@@ -187,6 +188,34 @@
     }
 }
 
+/// Takes an idle connection to the instance of `guard` at `address`, or opens one; `None` if the
+/// instance cannot be reached.
+async fn get_connection(
+    context: &SharedContext,
+    guard: &InFlightGuard,
+    address: SocketAddr,
+    timeout_ms: u64,
+) -> Option<UpstreamConnection> {
+    if let Some(connection) = context.upstreams.take_idle(address) {
+        return Some(connection);
+    }
+    let connected = {
+        let _connecting = guard.start_connecting();
+        context.upstreams.connect(address, timeout_ms).await
+    };
+    match connected {
+        Ok(connection) => {
+            guard.record_contact(PathContact::Connected);
+            Some(connection)
+        }
+        Err(_) => {
+            guard.record_unreachable();
+            context.upstreams.close_idle(address);
+            None
+        }
+    }
+}
+
 /// Checks the response, reads its body and records the outcome for the instance.
 async fn handle_response(
     context: &SharedContext,
@@ -195,6 +224,7 @@
     response: Response<Incoming>,
     input: AttemptInput<'_>,
 ) -> AttemptResult {
+    guard.record_contact(PathContact::Responded);
     let (head, body) = response.into_parts();
     if head.status.as_u16() == names::MISDIRECTED_STATUS {
         // What the response says is about another instance.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,8 @@
 mod instance_attempt;
 mod listing_reader;
 mod listing_snapshot;
+mod path_observer;
+mod path_prober;
 mod peer_fetch;
 mod peer_message;
 mod peer_server;
--- a/crates/policy/src/instance_state.rs
+++ b/crates/policy/src/instance_state.rs
@@ -20,6 +20,9 @@
 /// Backoff in milliseconds after an instance shed a request because it was full.
 const SHED_BACKOFF_MS: u64 = 150;
 
+/// Backoff in milliseconds after an attempt without a response, until its outcome counts.
+const SILENCE_BACKOFF_MS: u64 = 500;
+
 /// Backoff in milliseconds for an instance that this host cannot reach: the first value, and
 /// the maximum after doubling.
 const MIN_UNREACHABLE_BACKOFF_MS: u64 = 1_500;
@@ -54,6 +57,8 @@
     pub evidence: PresenceEvidence,
     /// Requests in flight from this host.
     pub in_flight: u32,
+    /// Those of them that wait for a connection.
+    connecting: u32,
     /// Requests in flight from the other hosts, as last reported by the hub.
     others_in_flight: u32,
     /// Time at which the instance has warmed up.
@@ -106,6 +111,7 @@
             changed_offset,
             evidence,
             in_flight: 0,
+            connecting: 0,
             others_in_flight: 0,
             warm_up_until: now.plus(listing.warm_up_ms),
             estimate: FaultEstimate::new(now),
@@ -198,6 +204,21 @@
             .is_none_or(|at| now.since(at) > UNREACHABLE_MEMORY_MS)
     }
 
+    /// Requests from this host that the instance may have received.
+    pub(crate) fn sent_in_flight(&self) -> u32 {
+        self.in_flight.saturating_sub(self.connecting)
+    }
+
+    /// Records that a request in flight waits for a connection.
+    pub(crate) fn start_connecting(&mut self) {
+        self.connecting += 1;
+    }
+
+    /// Records that such a request has its connection or has ended.
+    pub(crate) fn end_connecting(&mut self) {
+        self.connecting = self.connecting.saturating_sub(1);
+    }
+
     /// Moving average of the latency in milliseconds.
     pub fn latency_ms(&self) -> f64 {
         self.latency_ms
@@ -380,6 +401,17 @@
         self.backoff_until = now.plus(SHED_BACKOFF_MS);
     }
 
+    /// Starts a short backoff because the instance gave no response to an attempt.
+    pub(crate) fn start_silence_backoff(&mut self, now: ClockTime) {
+        self.backoff_until = self.backoff_until.max(now.plus(SILENCE_BACKOFF_MS));
+    }
+
+    /// Ends any backoff, and starts again with the shortest one.
+    pub(crate) fn end_backoff(&mut self) {
+        self.backoff_until = ClockTime::default();
+        self.unreachable_backoff_ms = MIN_UNREACHABLE_BACKOFF_MS;
+    }
+
     fn record_latency(&mut self, millis: f64) {
         self.latency_ms += (millis - self.latency_ms) * LATENCY_SMOOTHING;
     }
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -729,6 +729,18 @@
         self.instances[key].start_unreachable_backoff(now);
     }
 
+    /// Ends the backoffs of the instances of `service`, as when a lost path to them is back.
+    pub fn end_backoffs(&mut self, service: &str) {
+        for key in self.index.members(service) {
+            self.instances[key].end_backoff();
+        }
+    }
+
+    /// Starts a short backoff for an instance that gave no response to an attempt.
+    pub fn record_silence(&mut self, key: InstanceKey, now: ClockTime) {
+        self.instances[key].start_silence_backoff(now);
+    }
+
     /// Latency in milliseconds above which a response counts as late: the objective, or a
     /// multiple of the mean latency if that is longer.
     pub fn slow_threshold_ms(&self, service: &str, objective_ms: u64, now: ClockTime) -> u64 {
@@ -758,12 +770,25 @@
         }
     }
 
-    /// Requests in flight from this host, by instance hash.
-    pub fn in_flight(&self) -> Vec<(u32, u32)> {
+    /// Records that a request in flight at the instance `key` waits for a connection.
+    pub fn start_connecting(&mut self, key: InstanceKey) {
+        self.instances[key].start_connecting();
+    }
+
+    /// Records that such a request has its connection or has ended.
+    pub fn end_connecting(&mut self, key: InstanceKey) {
+        self.instances[key].end_connecting();
+    }
+
+    /// Requests from this host that instances may have received, by instance hash.
+    ///
+    /// One that waits for a connection occupies nothing at its instance. Nor does one on a path
+    /// that is lost, as `is_lost` says of a service.
+    pub fn in_flight(&self, is_lost: impl Fn(&str) -> bool) -> Vec<(u32, u32)> {
         self.instances
             .values()
-            .filter(|state| state.in_flight > 0)
-            .map(|state| (state.hash, state.in_flight))
+            .filter(|state| state.sent_in_flight() > 0 && !is_lost(&state.listing.service))
+            .map(|state| (state.hash, state.sent_in_flight()))
             .collect()
     }
 
@@ -828,6 +853,16 @@
         (sum / f64::from(count)).max(1.0)
     }
 
+    /// Names of all services that ever had an instance.
+    pub fn services(&self) -> impl Iterator<Item = &CompactString> {
+        self.index.services()
+    }
+
+    /// Usable instances of `service`, by key.
+    pub fn usable_keys(&self, service: &str, now: ClockTime) -> impl Iterator<Item = InstanceKey> {
+        self.usable_members(service, now).map(|(key, _)| key)
+    }
+
     /// Number of usable instances of `service`.
     pub fn usable_count(&self, service: &str, now: ClockTime) -> usize {
         self.usable_members(service, now).count()
--- /dev/null
+++ b/crates/policy/src/service_path.rs
@@ -0,0 +1,217 @@
+//! Whether this host reaches the instances of one service, and which of its
+//! failed attempts say something about an instance.
+//!
+//! A failed connection looks the same whether the instance is gone or this host
+//! has lost its path. Attempts that failed without any response are therefore
+//! unconfirmed at first. They count as failures of their instances once this
+//! host reached at least as many other instances afterwards; otherwise they
+//! expire. If connections to several instances fail and none opens meanwhile,
+//! the path is lost until one opens again.
+//!
+//! Connections that were opened before a cut may live on while new ones fail, so
+//! a response confirms only failures on open connections.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crocushoist_state::ClockTime;
+
+use crate::AttemptOutcome;
+use crate::InstanceKey;
+
+/// Milliseconds for which a failure waits for its confirmation.
+const UNCONFIRMED_VALID_MS: u64 = 1_500;
+
+/// Number of instances to which connections fail before the path is lost; fewer if the service has
+/// no more.
+const MIN_UNREACHABLE: usize = 3;
+
+/// Number of instances below which a lost path cannot be told from a lost instance.
+const MIN_INSTANCES: usize = 2;
+
+/// Milliseconds from one probe to the next while failures are unconfirmed.
+const DOUBT_PROBE_INTERVAL_MS: u64 = 50;
+
+/// Milliseconds from one probe to the next while the path is lost.
+const LOST_PROBE_INTERVAL_MS: u64 = 250;
+
+/// Milliseconds that a failure on an open connection waits for responses of other instances before
+/// a probe is sent.
+const AWAIT_RESPONSE_MS: u64 = 250;
+
+/// How an instance showed that this host reaches it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathContact {
+    /// A connection to it was opened.
+    Connected,
+    /// It responded.
+    Responded,
+}
+
+/// Failed attempt without any response, which may be a failure of the instance or of the path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnconfirmedOutcome {
+    /// Instance of the attempt.
+    pub key: InstanceKey,
+    /// Outcome of the attempt if the path is sound.
+    pub outcome: AttemptOutcome,
+    /// Duration of the attempt in milliseconds.
+    pub latency_ms: u64,
+    /// When it failed.
+    pub failed_at: ClockTime,
+}
+
+impl UnconfirmedOutcome {
+    /// Whether the attempt began before `time`.
+    fn began_before(&self, time: ClockTime) -> bool {
+        self.failed_at.minus(self.latency_ms) < time
+    }
+}
+
+/// Path of this host to the instances of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServicePath {
+    unconfirmed: Vec<UnconfirmedOutcome>,
+    /// When a connection to each instance was last opened.
+    connected_at: BTreeMap<InstanceKey, ClockTime>,
+    /// When each instance last responded.
+    responded_at: BTreeMap<InstanceKey, ClockTime>,
+    is_lost: bool,
+    /// When a lost path was last back.
+    back_at: Option<ClockTime>,
+    probed_at: ClockTime,
+}
+
+impl ServicePath {
+    /// Records an unconfirmed failure at one of `instance_count` usable instances; returns whether
+    /// the path is lost since then.
+    pub(crate) fn record_failure(
+        &mut self,
+        failure: UnconfirmedOutcome,
+        instance_count: usize,
+    ) -> bool {
+        // An attempt that began while the path was lost says nothing about its instance.
+        if self.is_lost || self.back_at.is_some_and(|at| failure.began_before(at)) {
+            return false;
+        }
+        self.remove_expired(failure.failed_at);
+        self.unconfirmed.push(failure);
+        let unreachable = || {
+            let failures = self.unconfirmed.iter();
+            failures.filter(|failure| failure.outcome == AttemptOutcome::Unreachable)
+        };
+        let keys: BTreeSet<InstanceKey> = unreachable().map(|failure| failure.key).collect();
+        let since = unreachable().map(|failure| failure.failed_at).min();
+        let reaches_any = self
+            .connected_at
+            .values()
+            .any(|at| since.is_none_or(|since| *at >= since));
+        let needed = MIN_UNREACHABLE.min(instance_count).max(MIN_INSTANCES);
+        self.is_lost = !reaches_any && keys.len() >= needed;
+        if self.is_lost {
+            self.unconfirmed.clear();
+        }
+        self.is_lost
+    }
+
+    /// Records that this host reached the instance `key`; returns the failures that this confirms
+    /// and whether a lost path is back.
+    pub(crate) fn record_contact(
+        &mut self,
+        key: InstanceKey,
+        contact: PathContact,
+        now: ClockTime,
+    ) -> (Vec<UnconfirmedOutcome>, bool) {
+        let mut is_back = false;
+        match contact {
+            PathContact::Connected => {
+                self.connected_at.insert(key, now);
+                is_back = std::mem::take(&mut self.is_lost);
+                if is_back {
+                    self.back_at = Some(now);
+                }
+            }
+            PathContact::Responded => {
+                self.responded_at.insert(key, now);
+            }
+        }
+        self.remove_expired(now);
+        let failing: BTreeSet<InstanceKey> =
+            self.unconfirmed.iter().map(|failure| failure.key).collect();
+        let (confirmed, unconfirmed) = std::mem::take(&mut self.unconfirmed)
+            .into_iter()
+            .partition(|failure| self.reached_since(failure) >= failing.len());
+        self.unconfirmed = unconfirmed;
+        (confirmed, is_back)
+    }
+
+    /// Number of other instances that this host reached in the way of `failure` since then.
+    fn reached_since(&self, failure: &UnconfirmedOutcome) -> usize {
+        let is_witness = |(key, at): &(&InstanceKey, &ClockTime)| {
+            **key != failure.key && **at >= failure.failed_at
+        };
+        let connected = self.connected_at.iter().filter(is_witness);
+        if failure.outcome == AttemptOutcome::Unreachable {
+            return connected.count();
+        }
+        let responded = self.responded_at.iter().filter(is_witness);
+        let reached: BTreeSet<&InstanceKey> =
+            connected.chain(responded).map(|(key, _)| key).collect();
+        reached.len()
+    }
+
+    /// Whether this host reaches no instance of the service.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.is_lost
+    }
+
+    /// Whether this host reached any instance within the last `millis` milliseconds.
+    pub(crate) fn has_contact(&self, millis: u64, now: ClockTime) -> bool {
+        let mut contacts = self.connected_at.values().chain(self.responded_at.values());
+        contacts.any(|at| now.since(*at) <= millis)
+    }
+
+    /// Whether to open a connection to an instance now, to tell a lost path from lost instances, to
+    /// find out that it is back, or because it `is_unknown`.
+    pub(crate) fn needs_probe(&mut self, is_unknown: bool, now: ClockTime) -> bool {
+        self.remove_expired(now);
+        let is_doubtful = self.unconfirmed.iter().any(|failure| {
+            failure.outcome == AttemptOutcome::Unreachable
+                || now.since(failure.failed_at) >= AWAIT_RESPONSE_MS
+        });
+        let interval_ms = if is_doubtful {
+            DOUBT_PROBE_INTERVAL_MS
+        } else {
+            LOST_PROBE_INTERVAL_MS
+        };
+        (self.is_lost || is_doubtful || is_unknown) && now.since(self.probed_at) >= interval_ms
+    }
+
+    /// Records that a probe begins.
+    pub(crate) fn record_probe(&mut self, now: ClockTime) {
+        self.probed_at = now;
+    }
+
+    /// Whether a probe of the instance `key` can tell anything new.
+    pub(crate) fn is_probe_useful(&self, key: InstanceKey) -> bool {
+        let since = self
+            .unconfirmed
+            .iter()
+            .map(|failure| failure.failed_at)
+            .min();
+        let is_connected = since.is_some_and(|since| {
+            let connected_at = self.connected_at.get(&key);
+            connected_at.is_some_and(|at| *at >= since)
+        });
+        !is_connected && !self.unconfirmed.iter().any(|failure| failure.key == key)
+    }
+
+    fn remove_expired(&mut self, now: ClockTime) {
+        let is_valid =
+            |failure: &UnconfirmedOutcome| now.since(failure.failed_at) <= UNCONFIRMED_VALID_MS;
+        self.unconfirmed.retain(is_valid);
+        let is_recent = |at: &mut ClockTime| now.since(*at) <= UNCONFIRMED_VALID_MS;
+        self.connected_at.retain(|_, at| is_recent(at));
+        self.responded_at.retain(|_, at| is_recent(at));
+    }
+}
--- a/crates/transport/src/upstream_pool.rs
+++ b/crates/transport/src/upstream_pool.rs
@@ -47,10 +47,19 @@
     ) -> Result<UpstreamConnection, TransportError> {
         match self.take_idle(address) {
             Some(connection) => Ok(connection),
-            None => UpstreamConnection::connect(self.source, address, timeout_ms).await,
+            None => self.connect(address, timeout_ms).await,
         }
     }
 
+    /// Opens a connection to `address`; fails as [`UpstreamConnection::connect`] does.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        timeout_ms: u64,
+    ) -> Result<UpstreamConnection, TransportError> {
+        UpstreamConnection::connect(self.source, address, timeout_ms).await
+    }
+
     /// Keeps a connection for reuse; its last response must have been received in full.
     pub fn put(&self, connection: UpstreamConnection) {
         self.keep_idle(connection, None);
@@ -96,7 +105,8 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<UpstreamConnection> {
+    /// Takes an idle connection to `address`.
+    pub fn take_idle(&self, address: SocketAddr) -> Option<UpstreamConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
