Relay requests over other hosts while the path to their service is lost

Callers of a host that reaches no instance were refused after a second, for as long as the cut lasted: the host tried four instances one after the other, each for 250 ms, and nothing took the request over a host that has a path.

The path monitor now says when the path to a service is lost. The request then goes to another host that takes callers, which sends it to an instance and answers with the response or why there is none; it is never relayed twice. A connection that is opened and reset at once is no path any more: contact counts when the instance responds, or when a probe lives for a moment.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -26,6 +26,7 @@
 use crocushoist_policy::LimitIndex;
 use crocushoist_policy::PathMonitor;
 use crocushoist_policy::ReadSharing;
+use crocushoist_policy::RelayChoice;
 use crocushoist_policy::RetryAccount;
 use crocushoist_policy::RetryLedger;
 use crocushoist_policy::StoreEra;
@@ -190,6 +191,10 @@
     pub(crate) in_progress: Rc<ProgressRegister>,
     /// Connections to the instances.
     pub(crate) upstreams: UpstreamPool,
+    /// Connections to other hosts for relayed requests.
+    pub(crate) relays: UpstreamPool,
+    /// Hosts to which relays failed lately.
+    pub(crate) relay_choice: RefCell<RelayChoice>,
     /// Metrics of this host.
     pub(crate) metrics: EdgeMetrics,
     /// Stop of the server of callers.
@@ -254,6 +259,8 @@
             stop_started_at: Cell::new(None),
             in_progress: Rc::default(),
             upstreams: UpstreamPool::new(Some(settings.caller_address.ip())),
+            relays: UpstreamPool::new(Some(settings.peer_address.ip())),
+            relay_choice: RefCell::default(),
             metrics: EdgeMetrics::default(),
             stop: ServerStop::default(),
             logger,
--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -199,6 +199,7 @@
 async fn run_maintenance(context: SharedContext) {
     loop {
         context.upstreams.drop_expired();
+        context.relays.drop_expired();
         let now = ClockTime::now();
         let age = context.evidence.borrow().store_age(now);
         context
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -54,6 +54,7 @@
     signals: Family<ReasonLabel, Counter>,
     outcomes: Family<OutcomeLabel, Counter>,
     path_changes: Family<ReasonLabel, Counter>,
+    relays: Family<ReasonLabel, Counter>,
     latency: Family<KindLabel, Histogram>,
     /// Version of the configuration in force.
     pub(crate) config_version: Gauge,
@@ -83,6 +84,7 @@
         let signals = Family::default();
         let outcomes = Family::default();
         let path_changes = Family::default();
+        let relays = Family::default();
         let latency = Family::<KindLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(LATENCY_BUCKETS_S)
         });
@@ -126,6 +128,11 @@
             "Paths to the instances of a service that were lost or came back",
             path_changes.clone(),
         );
+        registry.register(
+            "relays",
+            "Requests sent to instances for other hosts, by outcome",
+            relays.clone(),
+        );
         registry.register("answer_seconds", "Time to the answer", latency.clone());
         registry.register(
             "config_version",
@@ -169,6 +176,7 @@
             signals,
             outcomes,
             path_changes,
+            relays,
             latency,
             config_version,
             evidence_age_ms,
@@ -240,6 +248,11 @@
         self.path_changes.get_or_create(&label).inc();
     }
 
+    /// Counts a request that this host handled for another one, by outcome.
+    pub(crate) fn count_relay(&self, reason: &'static str) {
+        self.relays.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Records the milliseconds until the response on a route of `kind`.
     pub(crate) fn observe_latency(&self, kind: &'static str, millis: u64) {
         self.latency
--- a/crates/edge/src/edge_refusal.rs
+++ b/crates/edge/src/edge_refusal.rs
@@ -40,6 +40,8 @@
     NoInstance,
     /// Each usable instance wants no requests from this host for a time.
     InstancesOnHold,
+    /// This host reaches no instance of the service, and no other host took the request.
+    NoPath,
     /// No further attempt is allowed and none ran the request.
     RetriesExhausted,
     /// Too many attempts did not reach the chosen instance.
@@ -78,6 +80,7 @@
             EdgeReason::Overloaded => "overloaded",
             EdgeReason::NoInstance => "no_instance",
             EdgeReason::InstancesOnHold => "instances_on_hold",
+            EdgeReason::NoPath => "no_path",
             EdgeReason::RetriesExhausted => "not_run_anywhere",
             EdgeReason::NotSent => "not_sent",
             EdgeReason::InstanceFailed => "instance_failed",
@@ -100,6 +103,7 @@
             | EdgeReason::Overloaded
             | EdgeReason::NoInstance
             | EdgeReason::InstancesOnHold
+            | EdgeReason::NoPath
             | EdgeReason::RetriesExhausted
             | EdgeReason::NotSent
             | EdgeReason::TimeBeforeSend => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/edge/src/forward_head.rs
+++ b/crates/edge/src/forward_head.rs
@@ -9,6 +9,7 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::header::PROXY_AUTHORIZATION;
+use hyper::http::uri::PathAndQuery;
 
 use crocushoist_platform::names;
 use crocushoist_transport::RequestBody;
@@ -65,6 +66,34 @@
         })
     }
 
+    /// Head of a request that another host relayed.
+    pub(crate) fn relayed(
+        method: &str,
+        path: &str,
+        headers: HeaderMap,
+    ) -> Result<Self, hyper::http::Error> {
+        Ok(ForwardHead {
+            method: Method::from_bytes(method.as_bytes())?,
+            uri: Uri::builder().path_and_query(path).build()?,
+            headers,
+        })
+    }
+
+    /// HTTP method.
+    pub(crate) fn method(&self) -> &Method {
+        &self.method
+    }
+
+    /// Path and query.
+    pub(crate) fn path(&self) -> &str {
+        self.uri.path_and_query().map_or("/", PathAndQuery::as_str)
+    }
+
+    /// Headers for the instance.
+    pub(crate) fn headers(&self) -> &HeaderMap {
+        &self.headers
+    }
+
     /// Request to the instance `instance_id` with `remaining_ms` milliseconds left.
     pub(crate) fn request(
         &self,
--- a/crates/edge/src/graceful_stop.rs
+++ b/crates/edge/src/graceful_stop.rs
@@ -36,9 +36,11 @@
     log_end(context, started_at);
 }
 
-/// Waits until the listener and every connection are closed, at the longest until `deadline`.
+/// Waits until the listener and every connection are closed and no request is in progress, one of
+/// another host included, at the longest until `deadline`.
 async fn wait_for_end(context: &EdgeContext, deadline: ClockTime) {
-    while !context.stop.has_ended() && ClockTime::now() < deadline {
+    let has_work = || !context.stop.has_ended() || context.in_progress.len() > 0;
+    while has_work() && ClockTime::now() < deadline {
         let next_check = ClockTime::now().plus(CHECK_INTERVAL_MS);
         sleep_until(next_check.min(deadline)).await;
     }
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -468,13 +468,13 @@
 }
 
 /// Departure notices for one message.
-fn wire_departures(table: &InstanceTable, now: ClockTime) -> Vec<WireDeparture> {
+pub(crate) fn wire_departures(table: &InstanceTable, now: ClockTime) -> Vec<WireDeparture> {
     let told = table.told_departures(rand::random(), now);
     told.iter().map(Into::into).collect()
 }
 
 /// Applies the departure notices in a message of the host at `peer`.
-fn apply_departures(
+pub(crate) fn apply_departures(
     context: &EdgeContext,
     table: &mut InstanceTable,
     peer: SocketAddr,
--- a/crates/edge/src/in_flight_guard.rs
+++ b/crates/edge/src/in_flight_guard.rs
@@ -64,10 +64,10 @@
     }
 
     /// Records that the response is late.
-    pub(crate) fn record_late(&mut self) {
+    pub(crate) fn record_late(&mut self, contact: PathContact) {
         if !self.is_late {
             self.is_late = true;
-            self.record_unconfirmed(AttemptOutcome::Late);
+            self.record_unconfirmed(AttemptOutcome::Late, contact);
         }
     }
 
@@ -84,13 +84,14 @@
     }
 
     /// Records that the connection ended without any response.
-    pub(crate) fn record_broken_off(&self) {
-        self.record_unconfirmed(AttemptOutcome::Failed);
+    pub(crate) fn record_broken_off(&self, contact: PathContact) {
+        self.record_unconfirmed(AttemptOutcome::Failed, contact);
     }
 
     /// Records that this host cannot reach the instance.
     pub(crate) fn record_unreachable(&self) {
-        self.record_unconfirmed(AttemptOutcome::Unreachable);
+        let contact = PathContact::NewConnection;
+        self.record_unconfirmed(AttemptOutcome::Unreachable, contact);
     }
 
     /// Counts the request as waiting for a connection until the returned value is dropped.
@@ -175,8 +176,9 @@
     }
 
     /// Records an outcome without any response, which may be a failure of the path.
-    fn record_unconfirmed(&self, outcome: AttemptOutcome) {
-        observe_failure(&self.context, self.key, outcome, self.elapsed_ms());
+    fn record_unconfirmed(&self, outcome: AttemptOutcome, contact: PathContact) {
+        let elapsed_ms = self.elapsed_ms();
+        observe_failure(&self.context, self.key, outcome, contact, elapsed_ms);
     }
 }
 
--- a/crates/edge/src/instance_attempt.rs
+++ b/crates/edge/src/instance_attempt.rs
@@ -31,6 +31,7 @@
 
 use crate::buffered_response::BufferedResponse;
 use crate::edge_context::SharedContext;
+use crate::edge_refusal::EdgeRefusal;
 use crate::forward_head::ForwardHead;
 use crate::in_flight_guard::InFlightGuard;
 
@@ -74,6 +75,8 @@
         /// Cause in logs and metrics.
         reason: &'static str,
     },
+    /// Another host, to which the request was relayed, refused it; it was certainly not run.
+    Refused(EdgeRefusal),
     /// The deadline passed after sending began and before the response was complete.
     OutOfTime,
 }
@@ -89,6 +92,7 @@
             AttemptResult::NotRun {
                 reached_instance, ..
             } => *reached_instance,
+            AttemptResult::Refused(_) => false,
             _ => true,
         }
     }
@@ -99,6 +103,7 @@
             AttemptResult::Responded(response) if response.is_failure() => "answered_failure",
             AttemptResult::Responded(_) => "answered",
             AttemptResult::NotRun { reason, .. } | AttemptResult::MayHaveRun { reason } => reason,
+            AttemptResult::Refused(refusal) => refusal.reason.name(),
             AttemptResult::OutOfTime => "out_of_time",
         }
     }
@@ -133,7 +138,8 @@
     };
     let remaining = input.deadline.saturating_duration_since(Instant::now());
     let connect_timeout_ms = CONNECT_TIMEOUT_MS.min(remaining.as_millis() as u64).max(1);
-    let Some(mut connection) = get_connection(context, guard, address, connect_timeout_ms).await
+    let Some((mut connection, contact)) =
+        get_connection(context, guard, address, connect_timeout_ms).await
     else {
         return AttemptResult::NotRun {
             reason: "connect_failed",
@@ -162,7 +168,7 @@
         match timeout(slow_after.min(remaining), exchange.as_mut()).await {
             Ok(result) => Ok(result),
             Err(_) => {
-                guard.record_late();
+                guard.record_late(contact);
                 timeout_at(input.deadline, exchange).await
             }
         }
@@ -177,14 +183,17 @@
             reached_instance: false,
         },
         Ok(Err(AttemptFailure::MaybeWritten(_))) => {
-            guard.record_broken_off();
+            guard.record_broken_off(contact);
             context.upstreams.close_idle(address);
             AttemptResult::MayHaveRun {
                 // The exchange failed before a response head arrived.
                 reason: "broken_off",
             }
         }
-        Ok(Ok(response)) => handle_response(context, guard, connection, response, input).await,
+        Ok(Ok(response)) => {
+            guard.record_contact(contact);
+            handle_response(context, guard, connection, response, input).await
+        }
     }
 }
 
@@ -195,19 +204,16 @@
     guard: &InFlightGuard,
     address: SocketAddr,
     timeout_ms: u64,
-) -> Option<UpstreamConnection> {
+) -> Option<(UpstreamConnection, PathContact)> {
     if let Some(connection) = context.upstreams.take_idle(address) {
-        return Some(connection);
+        return Some((connection, PathContact::OpenConnection));
     }
     let connected = {
         let _connecting = guard.start_connecting();
         context.upstreams.connect(address, timeout_ms).await
     };
     match connected {
-        Ok(connection) => {
-            guard.record_contact(PathContact::Connected);
-            Some(connection)
-        }
+        Ok(connection) => Some((connection, PathContact::NewConnection)),
         Err(_) => {
             guard.record_unreachable();
             context.upstreams.close_idle(address);
@@ -224,7 +230,6 @@
     response: Response<Incoming>,
     input: AttemptInput<'_>,
 ) -> AttemptResult {
-    guard.record_contact(PathContact::Responded);
     let (head, body) = response.into_parts();
     if head.status.as_u16() == names::MISDIRECTED_STATUS {
         // What the response says is about another instance.
--- a/crates/edge/src/path_observer.rs
+++ b/crates/edge/src/path_observer.rs
@@ -15,17 +15,20 @@
 
 use crate::edge_context::EdgeContext;
 
-/// Records an attempt at the instance `key` that ended, or is late, without any response.
+/// Records an attempt at the instance `key`, on the connection `contact`, that ended, or is late,
+/// without any response.
 pub(crate) fn observe_failure(
     context: &EdgeContext,
     key: InstanceKey,
     outcome: AttemptOutcome,
+    contact: PathContact,
     latency_ms: u64,
 ) {
     let now = ClockTime::now();
     let failure = UnconfirmedOutcome {
         key,
         outcome,
+        contact,
         latency_ms,
         failed_at: now,
     };
--- a/crates/edge/src/path_prober.rs
+++ b/crates/edge/src/path_prober.rs
@@ -11,6 +11,7 @@
 use crocushoist_policy::InstanceKey;
 use crocushoist_policy::PathContact;
 use crocushoist_state::ClockTime;
+use crocushoist_transport::UpstreamConnection;
 
 use crate::edge_context::SharedContext;
 use crate::instance_attempt::CONNECT_TIMEOUT_MS;
@@ -24,6 +25,9 @@
 /// long.
 const KEEP_CONNECTION_MS: u64 = 1_000;
 
+/// Milliseconds after which a connection that a cut path resets is closed again.
+const RESET_WAIT_MS: u64 = 30;
+
 /// Probes paths until the process ends.
 pub(crate) async fn probe_paths(context: SharedContext) {
     loop {
@@ -44,14 +48,22 @@
     let started_at = ClockTime::now();
     let address = context.instances.borrow().get(key).listing.address;
     match context.upstreams.connect(address, CONNECT_TIMEOUT_MS).await {
-        Ok(connection) => {
-            observe_contact(&context, key, PathContact::Connected);
+        Ok(connection) if stays_open(&connection).await => {
+            observe_contact(&context, key, PathContact::NewConnection);
             let upstreams = &context.upstreams;
             upstreams.put_with_lifetime(connection, KEEP_CONNECTION_MS);
         }
-        Err(_) => {
+        _ => {
             let elapsed_ms = ClockTime::now().since(started_at);
-            observe_failure(&context, key, AttemptOutcome::Unreachable, elapsed_ms);
+            let outcome = AttemptOutcome::Unreachable;
+            let contact = PathContact::NewConnection;
+            observe_failure(&context, key, outcome, contact, elapsed_ms);
         }
     }
 }
+
+/// Whether a new connection lives for a moment.
+async fn stays_open(connection: &UpstreamConnection) -> bool {
+    sleep(Duration::from_millis(RESET_WAIT_MS)).await;
+    connection.is_usable()
+}
--- a/crates/edge/src/peer_server.rs
+++ b/crates/edge/src/peer_server.rs
@@ -1,4 +1,5 @@
-//! Serves this host's configuration and instance list to other hosts.
+//! Serves this host's configuration and instance list to other hosts, and takes
+//! the requests that they relay.
 //!
 //! The answers are too long for datagrams. They say what this host knows and
 //! how old that knowledge is; the asking host decides what follows from it.
@@ -18,6 +19,7 @@
 use crate::edge_context::EdgeContext;
 use crate::edge_context::SharedContext;
 use crate::listing_snapshot::ListingSnapshot;
+use crate::relay_handler::handle_relay;
 
 /// Path of the instance list.
 pub(crate) const INSTANCES_PATH: &str = "/instances";
@@ -25,6 +27,9 @@
 /// Path of the configuration; the query is the version that the asking host has.
 pub(crate) const CONFIG_PATH: &str = "/config";
 
+/// Path to which requests are relayed.
+pub(crate) const RELAY_PATH: &str = "/relay";
+
 /// Answers another host.
 pub(crate) async fn handle_peer_request(
     context: SharedContext,
@@ -33,6 +38,7 @@
     let now = ClockTime::now();
     match request.uri().path() {
         INSTANCES_PATH => encode_answer(&context, ListingSnapshot::of(&context, now)),
+        RELAY_PATH => handle_relay(&context, request.into_body()).await,
         CONFIG_PATH => {
             let known_version = request.uri().query().and_then(|query| query.parse().ok());
             let snapshot = new_config_snapshot(&context, known_version.unwrap_or(0), now);
@@ -58,7 +64,10 @@
 }
 
 /// Encodes `answer`; without one, this host knows too little to answer.
-fn encode_answer<T: Serialize>(context: &EdgeContext, answer: Option<T>) -> Response<ResponseBody> {
+pub(crate) fn encode_answer<T: Serialize>(
+    context: &EdgeContext,
+    answer: Option<T>,
+) -> Response<ResponseBody> {
     let Some(answer) = answer else {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     };
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -5,12 +5,16 @@
 //! not run. A refusal claims that the request was not run only if that is
 //! certain. Retries and hedges stay within this host's part of the fleet's retry
 //! budget for the service; retries are free until an attempt reaches an instance.
+//!
+//! While this host has no path to the service, another host carries the request.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
 use compact_str::CompactString;
+use compact_str::format_compact;
 use compio::time::sleep;
 use futures_util::future::Either;
 use futures_util::future::select;
@@ -30,6 +34,8 @@
 use crate::instance_attempt::AttemptInput;
 use crate::instance_attempt::AttemptResult;
 use crate::instance_attempt::send_attempt;
+use crate::relay_message::RelayRequest;
+use crate::relay_sender::relay;
 use crate::request_progress::ProgressGuard;
 use crate::request_record::AttemptRecord;
 use crate::request_record::RequestRecord;
@@ -38,6 +44,13 @@
 /// Number of attempts that may fail to reach the chosen instance; one more ends the request.
 const MAX_UNDELIVERED: u32 = 3;
 
+/// Number of attempts that did not reach the chosen instance after which another host carries the
+/// request, even if the path does not count as lost.
+const MIN_UNDELIVERED_FOR_RELAY: u32 = 2;
+
+/// Number of hosts that a request is relayed to.
+const MAX_RELAYS: usize = 3;
+
 /// Number of instances that may shed a request; one more ends the request.
 const MAX_SHED: u32 = 2;
 
@@ -82,6 +95,32 @@
     pub(crate) head: ForwardHead,
     /// Request body, which all attempts send.
     pub(crate) body: Bytes,
+    /// Whether another host may carry the request; false if it came from one.
+    pub(crate) may_relay: bool,
+}
+
+/// Who carries an attempt.
+enum AttemptCarrier {
+    /// This host sends it to an instance.
+    Instance(InFlightGuard),
+    /// The host that callers reach at this address sends it.
+    Host(SocketAddr),
+}
+
+/// Where an attempt was sent.
+#[derive(Clone, Copy)]
+enum AttemptTarget {
+    Instance(InstanceKey),
+    Host(SocketAddr),
+}
+
+impl AttemptCarrier {
+    fn target(&self) -> AttemptTarget {
+        match self {
+            AttemptCarrier::Instance(guard) => AttemptTarget::Instance(guard.key()),
+            AttemptCarrier::Host(host) => AttemptTarget::Host(*host),
+        }
+    }
 }
 
 /// State of the request after the attempts so far.
@@ -89,6 +128,8 @@
 struct AttemptProgress {
     /// Instances that are not chosen again.
     tried: Vec<InstanceKey>,
+    /// Hosts that the request was relayed to.
+    relayed_to: Vec<SocketAddr>,
     /// Number of attempts that possibly ran the request.
     possibly_run: u32,
     /// Number of attempts that the chosen instance shed.
@@ -122,16 +163,11 @@
     ) -> Result<BufferedResponse, EdgeRefusal> {
         let mut progress = AttemptProgress::default();
         loop {
-            let Some(guard) = self.choose_instance(&mut progress) else {
-                return self.final_response(progress, EdgeReason::NoInstance);
+            let Some(carrier) = self.choose_carrier(&mut progress) else {
+                return self.final_response(progress, self.no_carrier_reason());
             };
-            record.is_required_trial = self.retry_safety == RetrySafety::AtMostOnce
-                && self
-                    .context
-                    .instances
-                    .borrow()
-                    .is_suspected(guard.key(), ClockTime::now());
-            let result = self.attempt_hedged(guard, &mut progress, record).await;
+            record.is_required_trial = self.is_required_trial(&carrier);
+            let result = self.attempt_hedged(carrier, &mut progress, record).await;
             let result_name = result.name();
             match result {
                 AttemptResult::Responded(response) if !response.is_failure() => {
@@ -152,6 +188,12 @@
                     // `finish_attempt` has counted the attempt as shed.
                 }
                 AttemptResult::MayHaveRun { .. } => progress.may_have_run = true,
+                AttemptResult::Refused(refusal) => {
+                    if progress.may_have_run || progress.failure_response.is_some() {
+                        return self.final_response(progress, refusal.reason);
+                    }
+                    return Err(refusal);
+                }
                 AttemptResult::OutOfTime => {
                     progress.may_have_run = true;
                     return self.final_response(progress, EdgeReason::TimeAfterSend);
@@ -168,55 +210,103 @@
     /// first success, or else the result of the attempt that ends last.
     async fn attempt_hedged(
         &self,
-        guard: InFlightGuard,
+        carrier: AttemptCarrier,
         progress: &mut AttemptProgress,
         record: &mut RequestRecord,
     ) -> AttemptResult {
-        let first_key = guard.key();
-        let mut first = Box::pin(self.attempt(guard));
+        let first_target = carrier.target();
+        let mut first = Box::pin(self.attempt(carrier, progress.possibly_run));
         let delay = sleep(Duration::from_millis(self.hedge_delay_ms()));
         let result = match select(first.as_mut(), std::pin::pin!(delay)).await {
             Either::Left((result, _)) => Some(result),
             Either::Right(_) => None,
         };
         if let Some(result) = result {
-            return self.finish_attempt(first_key, result, progress, record);
+            return self.finish_attempt(first_target, result, progress, record);
         }
         let second = if self.try_start_hedge(progress, record) {
-            self.choose_instance(progress)
+            self.choose_carrier(progress)
         } else {
             None
         };
         let Some(second) = second else {
             let result = first.await;
-            return self.finish_attempt(first_key, result, progress, record);
+            return self.finish_attempt(first_target, result, progress, record);
         };
-        let second_key = second.key();
-        let second = Box::pin(self.attempt(second));
+        let second_target = second.target();
+        let second = Box::pin(self.attempt(second, progress.possibly_run + 1));
         match select(first, second).await {
             Either::Left((result, second)) => {
-                let result = self.finish_attempt(first_key, result, progress, record);
+                let result = self.finish_attempt(first_target, result, progress, record);
                 if is_success(&result) {
                     return result;
                 }
-                progress.may_have_run |= !matches!(result, AttemptResult::NotRun { .. });
+                progress.may_have_run |= may_have_run(&result);
                 let result = second.await;
-                self.finish_attempt(second_key, result, progress, record)
+                self.finish_attempt(second_target, result, progress, record)
             }
             Either::Right((result, first)) => {
-                let result = self.finish_attempt(second_key, result, progress, record);
+                let result = self.finish_attempt(second_target, result, progress, record);
                 if is_success(&result) {
                     return result;
                 }
-                progress.may_have_run |= !matches!(result, AttemptResult::NotRun { .. });
+                progress.may_have_run |= may_have_run(&result);
                 let result = first.await;
-                self.finish_attempt(first_key, result, progress, record)
+                self.finish_attempt(first_target, result, progress, record)
             }
         }
     }
 
-    /// Sends one attempt.
-    async fn attempt(&self, mut guard: InFlightGuard) -> EndedAttempt {
+    /// Sends one attempt, before which `possibly_run` others possibly ran the request.
+    async fn attempt(&self, carrier: AttemptCarrier, possibly_run: u32) -> EndedAttempt {
+        match carrier {
+            AttemptCarrier::Instance(guard) => self.attempt_instance(guard).await,
+            AttemptCarrier::Host(host) => self.attempt_relay(host, possibly_run).await,
+        }
+    }
+
+    /// Has the host that callers reach at `host` send the request.
+    async fn attempt_relay(&self, host: SocketAddr, possibly_run: u32) -> EndedAttempt {
+        let started_at = Instant::now();
+        let remaining = self.deadline.saturating_duration_since(started_at);
+        let peer = {
+            let roster = self.context.roster.borrow();
+            let registration = roster.find_caller_address(host);
+            registration.map(|registration| registration.peer_address)
+        };
+        let request = RelayRequest {
+            id: self.request.id().into(),
+            service: self.service.clone(),
+            is_idempotent: self.retry_safety == RetrySafety::Idempotent,
+            max_attempts: self.max_attempts.saturating_sub(possibly_run).max(1),
+            objective_ms: self.objective_ms,
+            remaining_ms: remaining.as_millis() as u64,
+            method: self.head.method().as_str().into(),
+            path: self.head.path().into(),
+            headers: self.head.headers().into(),
+            body: self.body.to_vec(),
+        };
+        let _open_attempt = self.request.open_attempt();
+        let result = match peer {
+            Some(peer) => relay(self.context, peer, &request, self.deadline).await,
+            None => AttemptResult::NotRun {
+                reason: "relay_unreachable",
+                reached_instance: false,
+            },
+        };
+        if matches!(result, AttemptResult::NotRun { .. }) {
+            let mut choice = self.context.relay_choice.borrow_mut();
+            choice.record_rejection(&self.service, host, ClockTime::now());
+        }
+        EndedAttempt {
+            result,
+            millis: started_at.elapsed().as_millis() as u64,
+            fault_probability: 0.0,
+        }
+    }
+
+    /// Sends one attempt to the instance of `guard`.
+    async fn attempt_instance(&self, mut guard: InFlightGuard) -> EndedAttempt {
         let slow_ms = {
             let table = self.context.instances.borrow();
             table.slow_threshold_ms(&self.service, self.objective_ms, ClockTime::now())
@@ -241,7 +331,7 @@
     /// Counts an attempt that has ended and adds it to the log record.
     fn finish_attempt(
         &self,
-        key: InstanceKey,
+        target: AttemptTarget,
         ended: EndedAttempt,
         progress: &mut AttemptProgress,
         record: &mut RequestRecord,
@@ -259,21 +349,90 @@
                 reached_instance: true,
                 ..
             } => progress.shed += 1,
+            AttemptResult::Refused(_) => {}
+            // Another host has made all attempts that the request may have.
+            _ if matches!(target, AttemptTarget::Host(_)) => {
+                progress.possibly_run = self.max_attempts;
+            }
             _ => progress.possibly_run += 1,
         }
         self.context.metrics.count_attempt(result.name());
-        let table = self.context.instances.borrow();
-        let state = table.get(key);
+        let (instance, in_flight) = match target {
+            AttemptTarget::Instance(key) => {
+                let table = self.context.instances.borrow();
+                let state = table.get(key);
+                (state.listing.id.clone(), state.load())
+            }
+            AttemptTarget::Host(host) => (format_compact!("via-{host}"), 0),
+        };
         record.record_attempt(AttemptRecord {
-            instance: state.listing.id.clone(),
+            instance,
             result: result.name(),
             millis: ended.millis,
             fault_probability: ended.fault_probability,
-            in_flight: state.load(),
+            in_flight,
         });
         result
     }
 
+    /// Whether only the floor requires the attempt, at an instance that probably fails.
+    fn is_required_trial(&self, carrier: &AttemptCarrier) -> bool {
+        let AttemptCarrier::Instance(guard) = carrier else {
+            return false;
+        };
+        let table = self.context.instances.borrow();
+        self.retry_safety == RetrySafety::AtMostOnce
+            && table.is_suspected(guard.key(), ClockTime::now())
+    }
+
+    /// Whether this host reaches no instance of the service.
+    fn has_lost_path(&self) -> bool {
+        self.context.paths.borrow().is_lost(&self.service)
+    }
+
+    /// Why nothing can carry the request.
+    fn no_carrier_reason(&self) -> EdgeReason {
+        if self.has_lost_path() {
+            EdgeReason::NoPath
+        } else {
+            EdgeReason::NoInstance
+        }
+    }
+
+    /// Chooses another host while this one does not reach the service, or else an instance.
+    fn choose_carrier(&self, progress: &mut AttemptProgress) -> Option<AttemptCarrier> {
+        let is_lost = self.has_lost_path();
+        if is_lost || progress.undelivered >= MIN_UNDELIVERED_FOR_RELAY {
+            let host = self.choose_relay(progress);
+            if let Some(host) = host {
+                progress.relayed_to.push(host);
+                return Some(AttemptCarrier::Host(host));
+            }
+        }
+        if is_lost {
+            return None;
+        }
+        let guard = self.choose_instance(progress)?;
+        Some(AttemptCarrier::Instance(guard))
+    }
+
+    /// Chooses a host to relay the request to.
+    fn choose_relay(&self, progress: &AttemptProgress) -> Option<SocketAddr> {
+        if !self.may_relay || progress.relayed_to.len() >= MAX_RELAYS {
+            return None;
+        }
+        let context = self.context;
+        let own_address = context.own_host.caller_address;
+        context.relay_choice.borrow().choose(
+            &self.service,
+            &context.advertised_hosts.borrow().hosts,
+            &context.own_host.data_centre,
+            |host| host == own_address || progress.relayed_to.contains(&host),
+            rand::random(),
+            ClockTime::now(),
+        )
+    }
+
     /// Chooses an instance that was not tried yet and counts the request in flight there.
     fn choose_instance(&self, progress: &mut AttemptProgress) -> Option<InFlightGuard> {
         let allow_trial = progress.possibly_run + 1 < self.max_attempts && self.has_retry_budget();
@@ -434,3 +593,11 @@
 fn is_success(result: &AttemptResult) -> bool {
     matches!(result, AttemptResult::Responded(response) if !response.is_failure())
 }
+
+/// Whether an instance possibly ran the request of an attempt.
+fn may_have_run(result: &AttemptResult) -> bool {
+    !matches!(
+        result,
+        AttemptResult::NotRun { .. } | AttemptResult::Refused(_)
+    )
+}
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -51,7 +51,7 @@
 
 /// Maximum request body in bytes that a host buffers; the operators' limit applies if it is
 /// lower.
-const MAX_BUFFERED_BODY_BYTES: u64 = 8 * 1024 * 1024;
+pub(crate) const MAX_BUFFERED_BODY_BYTES: u64 = 8 * 1024 * 1024;
 
 /// Milliseconds after which a caller should retry if only this host cannot serve the request;
 /// another host possibly can.
@@ -160,6 +160,7 @@
         deadline,
         head,
         body,
+        may_relay: true,
     };
     let response = forwarder.forward(record).await.inspect_err(|_| {
         if record.attempt_count() == 0 {
@@ -194,7 +195,7 @@
 }
 
 /// Refuses a request that a stopping host possibly cannot finish.
-fn check_stop(context: &EdgeContext, budget_ms: u64) -> Result<(), EdgeRefusal> {
+pub(crate) fn check_stop(context: &EdgeContext, budget_ms: u64) -> Result<(), EdgeRefusal> {
     let Some(started_at) = context.stop_started_at.get() else {
         return Ok(());
     };
--- a/crates/edge/src/request_progress.rs
+++ b/crates/edge/src/request_progress.rs
@@ -69,6 +69,11 @@
 }
 
 impl ProgressGuard {
+    /// Id of the caller's attempt.
+    pub(crate) fn id(&self) -> &str {
+        &self.progress.id
+    }
+
     /// Counts an attempt at an instance as open until the returned value is dropped.
     pub(crate) fn open_attempt(&self) -> OpenAttempt<'_> {
         let attempts = &self.progress.open_attempts;
--- a/crates/policy/src/host_roster.rs
+++ b/crates/policy/src/host_roster.rs
@@ -152,6 +152,13 @@
         self.registrations.get(&peer_address)
     }
 
+    /// Registration of the host that callers reach at `caller_address`.
+    pub fn find_caller_address(&self, caller_address: SocketAddr) -> Option<&HostRegistration> {
+        let mut registrations = self.registrations.values();
+        let found = registrations.find(|(_, host)| host.caller_address == caller_address);
+        found.map(|(_, registration)| registration)
+    }
+
     /// Data centres that have registered hosts, sorted.
     pub fn data_centres(&self) -> Vec<CompactString> {
         let mut names: Vec<CompactString> = self
--- a/crates/policy/src/service_path.rs
+++ b/crates/policy/src/service_path.rs
@@ -5,11 +5,13 @@
 //! has lost its path. Attempts that failed without any response are therefore
 //! unconfirmed at first. They count as failures of their instances once this
 //! host reached at least as many other instances afterwards; otherwise they
-//! expire. If connections to several instances fail and none opens meanwhile,
-//! the path is lost until one opens again.
+//! expire. If new connections to several instances fail and none succeeds
+//! meanwhile, the path is lost until one does again.
 //!
-//! Connections that were opened before a cut may live on while new ones fail, so
-//! a response confirms only failures on open connections.
+//! A connection that opens proves nothing, as it may be reset at once; it counts
+//! when the instance responds on it, or when a probe finds that it lives. Those
+//! that were opened before a cut may live on while new ones fail, so a response
+//! on one of them confirms only failures on open connections.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -39,13 +41,13 @@
 /// a probe is sent.
 const AWAIT_RESPONSE_MS: u64 = 250;
 
-/// How an instance showed that this host reaches it.
+/// Connection on which an instance was reached, or an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PathContact {
-    /// A connection to it was opened.
-    Connected,
-    /// It responded.
-    Responded,
+    /// One that was opened for it.
+    NewConnection,
+    /// One that had been open before.
+    OpenConnection,
 }
 
 /// Failed attempt without any response, which may be a failure of the instance or of the path.
@@ -55,6 +57,8 @@
     pub key: InstanceKey,
     /// Outcome of the attempt if the path is sound.
     pub outcome: AttemptOutcome,
+    /// Connection on which it failed.
+    pub contact: PathContact,
     /// Duration of the attempt in milliseconds.
     pub latency_ms: u64,
     /// When it failed.
@@ -72,10 +76,10 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServicePath {
     unconfirmed: Vec<UnconfirmedOutcome>,
-    /// When a connection to each instance was last opened.
-    connected_at: BTreeMap<InstanceKey, ClockTime>,
-    /// When each instance last responded.
-    responded_at: BTreeMap<InstanceKey, ClockTime>,
+    /// When each instance was last reached on a new connection.
+    new_contacts: BTreeMap<InstanceKey, ClockTime>,
+    /// When each instance was last reached on a connection that had been open before.
+    open_contacts: BTreeMap<InstanceKey, ClockTime>,
     is_lost: bool,
     /// When a lost path was last back.
     back_at: Option<ClockTime>,
@@ -98,12 +102,12 @@
         self.unconfirmed.push(failure);
         let unreachable = || {
             let failures = self.unconfirmed.iter();
-            failures.filter(|failure| failure.outcome == AttemptOutcome::Unreachable)
+            failures.filter(|failure| failure.contact == PathContact::NewConnection)
         };
         let keys: BTreeSet<InstanceKey> = unreachable().map(|failure| failure.key).collect();
         let since = unreachable().map(|failure| failure.failed_at).min();
         let reaches_any = self
-            .connected_at
+            .new_contacts
             .values()
             .any(|at| since.is_none_or(|since| *at >= since));
         let needed = MIN_UNREACHABLE.min(instance_count).max(MIN_INSTANCES);
@@ -124,15 +128,15 @@
     ) -> (Vec<UnconfirmedOutcome>, bool) {
         let mut is_back = false;
         match contact {
-            PathContact::Connected => {
-                self.connected_at.insert(key, now);
+            PathContact::NewConnection => {
+                self.new_contacts.insert(key, now);
                 is_back = std::mem::take(&mut self.is_lost);
                 if is_back {
                     self.back_at = Some(now);
                 }
             }
-            PathContact::Responded => {
-                self.responded_at.insert(key, now);
+            PathContact::OpenConnection => {
+                self.open_contacts.insert(key, now);
             }
         }
         self.remove_expired(now);
@@ -150,13 +154,12 @@
         let is_witness = |(key, at): &(&InstanceKey, &ClockTime)| {
             **key != failure.key && **at >= failure.failed_at
         };
-        let connected = self.connected_at.iter().filter(is_witness);
-        if failure.outcome == AttemptOutcome::Unreachable {
-            return connected.count();
+        let on_new = self.new_contacts.iter().filter(is_witness);
+        if failure.contact == PathContact::NewConnection {
+            return on_new.count();
         }
-        let responded = self.responded_at.iter().filter(is_witness);
-        let reached: BTreeSet<&InstanceKey> =
-            connected.chain(responded).map(|(key, _)| key).collect();
+        let on_open = self.open_contacts.iter().filter(is_witness);
+        let reached: BTreeSet<&InstanceKey> = on_new.chain(on_open).map(|(key, _)| key).collect();
         reached.len()
     }
 
@@ -167,7 +170,10 @@
 
     /// Whether this host reached any instance within the last `millis` milliseconds.
     pub(crate) fn has_contact(&self, millis: u64, now: ClockTime) -> bool {
-        let mut contacts = self.connected_at.values().chain(self.responded_at.values());
+        let mut contacts = self
+            .new_contacts
+            .values()
+            .chain(self.open_contacts.values());
         contacts.any(|at| now.since(*at) <= millis)
     }
 
@@ -176,7 +182,7 @@
     pub(crate) fn needs_probe(&mut self, is_unknown: bool, now: ClockTime) -> bool {
         self.remove_expired(now);
         let is_doubtful = self.unconfirmed.iter().any(|failure| {
-            failure.outcome == AttemptOutcome::Unreachable
+            failure.contact == PathContact::NewConnection
                 || now.since(failure.failed_at) >= AWAIT_RESPONSE_MS
         });
         let interval_ms = if is_doubtful {
@@ -199,11 +205,11 @@
             .iter()
             .map(|failure| failure.failed_at)
             .min();
-        let is_connected = since.is_some_and(|since| {
-            let connected_at = self.connected_at.get(&key);
-            connected_at.is_some_and(|at| *at >= since)
+        let is_reached = since.is_some_and(|since| {
+            let reached_at = self.new_contacts.get(&key);
+            reached_at.is_some_and(|at| *at >= since)
         });
-        !is_connected && !self.unconfirmed.iter().any(|failure| failure.key == key)
+        !is_reached && !self.unconfirmed.iter().any(|failure| failure.key == key)
     }
 
     fn remove_expired(&mut self, now: ClockTime) {
@@ -211,7 +217,7 @@
             |failure: &UnconfirmedOutcome| now.since(failure.failed_at) <= UNCONFIRMED_VALID_MS;
         self.unconfirmed.retain(is_valid);
         let is_recent = |at: &mut ClockTime| now.since(*at) <= UNCONFIRMED_VALID_MS;
-        self.connected_at.retain(|_, at| is_recent(at));
-        self.responded_at.retain(|_, at| is_recent(at));
+        self.new_contacts.retain(|_, at| is_recent(at));
+        self.open_contacts.retain(|_, at| is_recent(at));
     }
 }
--- a/crates/policy/tests/lost_paths.rs
+++ b/crates/policy/tests/lost_paths.rs
@@ -46,6 +46,10 @@
     let failure = UnconfirmedOutcome {
         key: key(index),
         outcome,
+        contact: match outcome {
+            AttemptOutcome::Unreachable => PathContact::NewConnection,
+            _ => PathContact::OpenConnection,
+        },
         latency_ms: CONNECT_MS,
         failed_at: at(millis),
     };
@@ -79,20 +83,20 @@
     );
     assert!(monitor.is_lost(SERVICE));
     fail(&mut monitor, 4, unreachable, 2_000);
-    let (confirmed, change) = reach(&mut monitor, 5, PathContact::Connected, 2_300);
+    let (confirmed, change) = reach(&mut monitor, 5, PathContact::NewConnection, 2_300);
     assert_eq!((confirmed, change), (vec![], Some(PathChange::Back)));
     // This attempt began before the path was back.
     fail(&mut monitor, 6, unreachable, 2_400);
-    let (confirmed, _) = reach(&mut monitor, 7, PathContact::Connected, 2_500);
+    let (confirmed, _) = reach(&mut monitor, 7, PathContact::NewConnection, 2_500);
     assert_eq!(confirmed, []);
     assert!(!monitor.is_lost(SERVICE));
 }
 
 #[parameterized(
-    unreachable_then_connected = {AttemptOutcome::Unreachable, PathContact::Connected, true },
-    unreachable_then_responded = {AttemptOutcome::Unreachable, PathContact::Responded, false },
-    broken_off_then_responded = {AttemptOutcome::Failed, PathContact::Responded, true },
-    late_then_connected = {AttemptOutcome::Late, PathContact::Connected, true },
+    unreachable_then_connected = {AttemptOutcome::Unreachable, PathContact::NewConnection, true },
+    unreachable_then_responded = {AttemptOutcome::Unreachable, PathContact::OpenConnection, false },
+    broken_off_then_responded = {AttemptOutcome::Failed, PathContact::OpenConnection, true },
+    late_then_connected = {AttemptOutcome::Late, PathContact::NewConnection, true },
 )]
 fn failure_counts_once_another_instance_is_reached(
     outcome: AttemptOutcome,
@@ -113,12 +117,12 @@
     let mut monitor = PathMonitor::default();
     fail(&mut monitor, 0, AttemptOutcome::Unreachable, 300);
     fail(&mut monitor, 1, AttemptOutcome::Unreachable, 310);
-    let (confirmed, _) = reach(&mut monitor, 2, PathContact::Connected, 320);
+    let (confirmed, _) = reach(&mut monitor, 2, PathContact::NewConnection, 320);
     assert_eq!(confirmed, [], "one path of three is no proof");
-    let (confirmed, _) = reach(&mut monitor, 3, PathContact::Connected, 330);
+    let (confirmed, _) = reach(&mut monitor, 3, PathContact::NewConnection, 330);
     assert_eq!(confirmed, [key(0), key(1)]);
     fail(&mut monitor, 0, AttemptOutcome::Unreachable, 1_000);
-    let (confirmed, _) = reach(&mut monitor, 2, PathContact::Connected, 5_000);
+    let (confirmed, _) = reach(&mut monitor, 2, PathContact::NewConnection, 5_000);
     assert_eq!(confirmed, [], "the contact is too late to tell");
 }
 
@@ -136,7 +140,7 @@
     assert!(monitor.is_cut_off(&table, at(610)));
     assert_eq!(monitor.next_probes(&table, || 0.5, at(800)).len(), 1);
     assert_eq!(monitor.next_probes(&table, || 0.5, at(900)).len(), 0);
-    reach(&mut monitor, 4, PathContact::Connected, 1_000);
+    reach(&mut monitor, 4, PathContact::NewConnection, 1_000);
     assert!(!monitor.is_cut_off(&table, at(1_010)));
 }
 
@@ -147,6 +151,7 @@
         let failure = UnconfirmedOutcome {
             key: key(0),
             outcome: AttemptOutcome::Unreachable,
+            contact: PathContact::NewConnection,
             latency_ms: CONNECT_MS,
             failed_at: at(millis * 50),
         };
