Leave hosts that reach no instance out of the address lookups

Callers were sent to cut hosts for the whole cut, because a host that has a configuration and a list of instances counted as one that takes callers. A host whose path to every service is lost is not named any more until one is back. It stays ready and relays what comes. Where less than half of a data centre's hosts take callers, its callers get the other data centres' hosts too, so that the last ones are not flooded; without any host that has a path, each names itself.

--- a/crates/edge/src/address_handler.rs
+++ b/crates/edge/src/address_handler.rs
@@ -74,7 +74,7 @@
 /// Addresses of hosts that accept callers, in random order, local hosts only if there are enough.
 fn addresses_for(context: &EdgeContext, data_centre: &str) -> Vec<SocketAddr> {
     let own_address = context.own_host.caller_address;
-    let accepts_callers = context.accepts_callers(ClockTime::now());
+    let now = ClockTime::now();
     let advertised_hosts = context.advertised_hosts.borrow();
     let mut hosts: Vec<(bool, SocketAddr)> = advertised_hosts
         .hosts
@@ -82,11 +82,14 @@
         .filter(|(_, host)| *host != own_address)
         .map(|(host_centre, host)| (host_centre == data_centre, *host))
         .collect();
-    if accepts_callers {
+    // Without any other host this one still answers its callers, if only that it cannot serve.
+    if context.is_advertised(now) || (hosts.is_empty() && context.accepts_callers(now)) {
         hosts.push((context.own_host.data_centre == data_centre, own_address));
     }
     let local_count = hosts.iter().filter(|(is_local, _)| *is_local).count();
-    if local_count >= MIN_LOCAL_HOSTS {
+    let mut short_centres = advertised_hosts.short_centres.iter();
+    let is_short = short_centres.any(|short_centre| short_centre == data_centre);
+    if local_count >= MIN_LOCAL_HOSTS && !is_short {
         hosts.retain(|(is_local, _)| *is_local);
     }
     let mut addresses: Vec<SocketAddr> = hosts.into_iter().map(|(_, host)| host).collect();
--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -67,7 +67,9 @@
 pub(crate) struct AdvertisedHosts {
     /// Each host's data centre and address for callers.
     pub(crate) hosts: Vec<(CompactString, SocketAddr)>,
-    /// Hash of the hosts; a hub sends the list to a host only if their hashes differ.
+    /// Data centres that have too few of them for their own callers.
+    pub(crate) short_centres: Vec<CompactString>,
+    /// Hash of both; a hub sends them to a host only if their hashes differ.
     pub(crate) hash: u32,
 }
 
@@ -368,6 +370,14 @@
         is_recent && can_serve && !self.is_stopping()
     }
 
+    /// Whether address lookups should return this host: it accepts callers and reaches instances.
+    ///
+    /// It serves callers that come all the same, over other hosts.
+    pub(crate) fn is_advertised(&self, now: ClockTime) -> bool {
+        let table = self.instances.borrow();
+        self.accepts_callers(now) && !self.paths.borrow().is_cut_off(&table, now)
+    }
+
     /// Records that the host at `peer_address` has the configuration `version`.
     pub(crate) fn record_peer_version(
         &self,
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -32,6 +32,7 @@
 use crate::peer_message::HubSummary;
 use crate::peer_message::WireDeparture;
 use crate::peer_message::WireEstimate;
+use crate::peer_message::WireFleet;
 use crate::peer_message::WireHub;
 use crate::peer_message::WireListing;
 
@@ -83,15 +84,14 @@
         .iter()
         .map(|(service, account)| account.pool_counts(service));
     let (uses, has_all_uses) = selection.select(workspaces.chain(retries).collect(), now);
+    let is_advertised = context.is_advertised(now);
     let mut table = context.instances.borrow_mut();
     HostReport {
         number,
         incarnation: context.own_host.incarnation,
         is_first: !has_answer,
         is_counted: context.is_counted.get(),
-        callers: context
-            .accepts_callers(now)
-            .then_some(context.own_host.caller_address),
+        callers: is_advertised.then_some(context.own_host.caller_address),
         listing_offset: table.reported_offset().into(),
         listing_age: context.listing_age(now),
         config_version: context.config_version(),
@@ -263,7 +263,10 @@
         }),
         beliefs: estimates,
         trials,
-        fleet: (advertised_hosts.hash != report.fleet_hash).then(|| advertised_hosts.hosts.clone()),
+        fleet: (advertised_hosts.hash != report.fleet_hash).then(|| WireFleet {
+            hosts: advertised_hosts.hosts.clone(),
+            short_centres: advertised_hosts.short_centres.clone(),
+        }),
         fleet_hash: advertised_hosts.hash,
         departures: wire_departures(&table, now),
         retry_grants: grants.iter().map(Into::into).collect(),
@@ -355,8 +358,9 @@
     apply_retry_grants(context, &answer, report_sent_at);
     apply_assignments(context, &answer, now);
     let mut advertised_hosts = context.advertised_hosts.borrow_mut();
-    if let Some(hosts) = answer.fleet {
-        advertised_hosts.hosts = hosts;
+    if let Some(fleet) = answer.fleet {
+        advertised_hosts.hosts = fleet.hosts;
+        advertised_hosts.short_centres = fleet.short_centres;
         advertised_hosts.hash = answer.fleet_hash;
     }
 }
@@ -569,12 +573,14 @@
         .chain(aggregator.remote_hosts(now))
         .collect();
     hosts.sort_unstable();
-    let mut text = String::new();
+    let short_centres = aggregator.short_data_centres(data_centre, now);
+    let mut text = short_centres.join(" ");
     for (_, host) in &hosts {
-        text.push_str(&host.to_string());
         text.push(' ');
+        text.push_str(&host.to_string());
     }
     let mut advertised_hosts = context.advertised_hosts.borrow_mut();
     advertised_hosts.hash = name_hash(&text);
     advertised_hosts.hosts = hosts;
+    advertised_hosts.short_centres = short_centres;
 }
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -59,7 +59,7 @@
     pub(crate) is_first: bool,
     /// Whether a hub has answered, and so counted, a report since this start.
     pub(crate) is_counted: bool,
-    /// Address for callers, `None` if the host accepts no callers.
+    /// Address for callers, `None` if address lookups should not return the host.
     pub(crate) callers: Option<SocketAddr>,
     /// Offset up to which the host knows the instance list.
     pub(crate) listing_offset: WireOffset,
@@ -129,9 +129,8 @@
     pub(crate) beliefs: Vec<WireEstimate>,
     /// Suspected instances to which the reporter may send a trial request.
     pub(crate) trials: Vec<WireTrial>,
-    /// Data centre and address of the hosts that accept callers, `None` if the reporter already
-    /// has the list.
-    pub(crate) fleet: Option<Vec<(CompactString, SocketAddr)>>,
+    /// Hosts that accept callers, `None` if the reporter already has the list.
+    pub(crate) fleet: Option<WireFleet>,
     /// Hash of these hosts.
     pub(crate) fleet_hash: u32,
     /// Starts of instances that are leaving, as far as the hub knows.
@@ -167,6 +166,15 @@
     pub(crate) departures: Vec<WireDeparture>,
 }
 
+/// Hosts that accept callers.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct WireFleet {
+    /// Data centre and address for callers of each host.
+    pub(crate) hosts: Vec<(CompactString, SocketAddr)>,
+    /// Data centres that have too few of them for their own callers.
+    pub(crate) short_centres: Vec<CompactString>,
+}
+
 /// Era of the store and number of the position within it.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct WireOffset(u64, u64);
--- a/crates/policy/src/hub_aggregator.rs
+++ b/crates/policy/src/hub_aggregator.rs
@@ -17,6 +17,7 @@
 //! as they may admit requests, this hub uses only the part of each limit that
 //! belongs to the hosts that report to it or to a reachable hub.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -79,6 +80,11 @@
 /// At a lower coverage it may be throttled because other hubs use parts of its limit.
 const FULL_COVERAGE: f64 = 0.9;
 
+/// Share of a data centre's hosts that must accept callers for the others not to help out.
+///
+/// The rest would take more than twice its usual load.
+const MIN_ACCEPTING_SHARE: f64 = 0.5;
+
 /// Totals, limiters and reachability that a hub derives from reports and summaries.
 #[derive(Clone, Debug, Default)]
 pub struct HubAggregator {
@@ -415,6 +421,25 @@
         hosts
     }
 
+    /// Data centres of which less than `MIN_ACCEPTING_SHARE` of the reporting hosts accept callers;
+    /// this hub's is `own_centre`. Callers there need hosts of other data centres too.
+    pub fn short_data_centres(&self, own_centre: &str, now: ClockTime) -> Vec<CompactString> {
+        let mut counts: BTreeMap<CompactString, (usize, u32)> = BTreeMap::new();
+        let own_counts = (self.local_hosts(now).len(), self.reporter_count(now));
+        counts.insert(own_centre.into(), own_counts);
+        let hubs = self.hubs.values();
+        for hub in hubs.filter(|hub| now.since(hub.last_seen_at) <= HUB_TIMEOUT_MS) {
+            let count = counts.entry(hub.data_centre.clone()).or_default();
+            count.0 += hub.caller_addresses.len();
+            count.1 += hub.host_count;
+        }
+        let is_short = |(accepting, reporting): (usize, u32)| {
+            (accepting as f64) < f64::from(reporting) * MIN_ACCEPTING_SHARE
+        };
+        let short = counts.into_iter().filter(|(_, count)| is_short(*count));
+        short.map(|(data_centre, _)| data_centre).collect()
+    }
+
     /// Hubs that sent a summary within `HUB_TIMEOUT_MS`, each with its data centre.
     pub fn reachable_hubs(&self, now: ClockTime) -> Vec<(SocketAddr, CompactString)> {
         self.hubs
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -340,3 +340,32 @@
     hub.apply_report(partial(1), None, &counts(505), at(180));
     assert_eq!(hub.local_totals()[0].admitted, 3);
 }
+
+// Guards against the last hosts of a data centre that reach instances taking all its callers.
+#[test]
+fn data_centre_is_short_of_hosts_while_most_of_them_accept_no_callers() {
+    let mut hub = HubAggregator::default();
+    let caller_address = |number: u8| SocketAddr::from(([10, 0, 0, number], 8_000));
+    let centres = |hub: &HubAggregator, millis| hub.short_data_centres("north", at(millis));
+    for number in 1..=3 {
+        hub.apply_report(reporter(number), Some(caller_address(number)), &[], at(0));
+    }
+    let remote_hosts = vec![caller_address(11), caller_address(12)];
+    hub.apply_summary(reporter(11), "south", Some(remote_hosts), &[], at(0));
+    hub.set_hub_load(reporter(11).peer_address, 4, Vec::new());
+    assert!(centres(&hub, 100).is_empty());
+    hub.apply_report(reporter(2), None, &[], at(200));
+    assert!(centres(&hub, 300).is_empty(), "two of three accept callers");
+    hub.apply_report(reporter(3), None, &[], at(400));
+    assert_eq!(centres(&hub, 500), ["north"]);
+    hub.apply_summary(
+        reporter(11),
+        "south",
+        Some(vec![caller_address(11)]),
+        &[],
+        at(600),
+    );
+    assert_eq!(centres(&hub, 700), ["north", "south"]);
+    hub.apply_report(reporter(3), Some(caller_address(3)), &[], at(800));
+    assert_eq!(centres(&hub, 900), ["south"]);
+}
