Bound what is read before the head of a response

An instance that sends interim responses without end kept the HTTP client of a host reading for as long as they came. The host has one thread, so no timer fired meanwhile: with 24 calls at a time some ended 0.5 s after their deadline with 504, or without a response. A connection now reads at most 1 MiB until the head of a response is complete; the body was bounded before.

--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -234,7 +234,7 @@
                     history.instance_silences.push(cut);
                 }
                 LinkState::Stalled | LinkState::OneWay => history.instance_silences.push(cut),
-                LinkState::Open | LinkState::Delayed(_) => {}
+                LinkState::Open | LinkState::Delayed(_) | LinkState::Endless(_) => {}
             }
         }
         FaultKind::InstanceFault(instance, choice) => {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,6 +6,7 @@
 //! a failed request reports whether any of its bytes may have left the host,
 //! and the code that sent it decides.
 
+mod bounded_stream;
 mod byte_meter;
 mod connect;
 mod hop_headers;
--- a/crates/transport/src/upstream_connection.rs
+++ b/crates/transport/src/upstream_connection.rs
@@ -16,8 +16,16 @@
 
 use crate::RequestBody;
 use crate::TransportError;
+use crate::bounded_stream::BoundedStream;
+use crate::bounded_stream::ReadAllowance;
 use crate::connect_from;
 
+/// Maximum number of bytes that are read before the head of the response is complete.
+///
+/// The buffer of the HTTP client holds less, but interim responses pass through it one after the
+/// other.
+const MAX_BYTES_BEFORE_RESPONSE: usize = 1024 * 1024;
+
 /// Why sending a request failed.
 #[derive(Debug)]
 pub enum AttemptFailure {
@@ -32,6 +40,7 @@
 pub struct UpstreamConnection {
     address: SocketAddr,
     sender: http1::SendRequest<RequestBody>,
+    allowance: ReadAllowance,
     _task: JoinHandle<()>,
 }
 
@@ -46,7 +55,9 @@
         timeout_ms: u64,
     ) -> Result<Self, TransportError> {
         let stream = connect_from(source, address, timeout_ms).await?;
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+        let allowance = ReadAllowance::new(MAX_BYTES_BEFORE_RESPONSE);
+        let stream = BoundedStream::new(HyperStream::new_plain(stream), allowance.clone());
+        let (sender, connection) = http1::handshake(stream)
             .await
             .map_err(|error| TransportError::Http { address, error })?;
         let task = compio::runtime::spawn(async move {
@@ -55,6 +66,7 @@
         Ok(UpstreamConnection {
             address,
             sender,
+            allowance,
             _task: task,
         })
     }
@@ -74,8 +86,13 @@
         &mut self,
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, AttemptFailure> {
+        self.allowance.set(Some(MAX_BYTES_BEFORE_RESPONSE));
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                // Who reads the body bounds it.
+                self.allowance.set(None);
+                Ok(response)
+            }
             Err(mut failure) => match failure.take_message() {
                 Some(request) => Err(AttemptFailure::NotWritten(Box::new(request))),
                 None => Err(AttemptFailure::MaybeWritten(TransportError::Http {
