Draw cut paths and bytes without end in the soak, and wait for a relay alone

The soak's paths mode draws hosts that lose their path to all instances, in four ways, and instances that send bytes without end, alone or beside the faults of the series and drill modes. It checks that callers of cut hosts are served two thirds as often as others from 3 s after a cut.

A host hedged a request that it had relayed, while the other host used all attempts of the route.

--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -215,6 +215,11 @@
         record: &mut RequestRecord,
     ) -> AttemptResult {
         let first_target = carrier.target();
+        if matches!(first_target, AttemptTarget::Host(_)) {
+            // The other host may use all attempts, and hedges by itself.
+            let ended = self.attempt(carrier, progress.possibly_run).await;
+            return self.finish_attempt(first_target, ended, progress, record);
+        }
         let mut first = Box::pin(self.attempt(carrier, progress.possibly_run));
         let delay = sleep(Duration::from_millis(self.hedge_delay_ms()));
         let result = match select(first.as_mut(), std::pin::pin!(delay)).await {
--- a/crates/soak/src/call_history.rs
+++ b/crates/soak/src/call_history.rs
@@ -113,6 +113,15 @@
     pub span_ms: Range<u64>,
 }
 
+/// Time during which hosts had no path to any instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PathCutRecord {
+    /// Indexes of the hosts.
+    pub hosts: Vec<usize>,
+    /// Begin and end, in milliseconds.
+    pub span_ms: Range<u64>,
+}
+
 /// Everything that was recorded during one run.
 #[derive(Clone, Debug, Default)]
 pub struct CallHistory {
@@ -129,6 +138,8 @@
     /// Times at which the link of an instance, by index, forwarded nothing in one direction at
     /// least, in milliseconds.
     pub instance_silences: Vec<(usize, Range<u64>)>,
+    /// Hosts without a path to instances.
+    pub path_cuts: Vec<PathCutRecord>,
     /// Instances that started anew, by index, and when, in milliseconds.
     pub instance_starts: Vec<(usize, u64)>,
     /// Responses by which instances said that they want no requests.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,8 @@
 //! on it gets no response. In the series mode, signals, stops and restarts
 //! follow each other and overlap, and more calls are in progress. The drill
 //! mode adds instances that say that they leave or want no requests, and a
-//! store that comes back from older copies.
+//! store that comes back from older copies. The paths mode adds hosts that lose
+//! their path to all instances, and instances that send bytes without end.
 //!
 //! After the faults, the calls that the callers sent are compared with the
 //! requests that the instances executed. Whatever contradicts a guarantee of
@@ -20,6 +21,8 @@
 mod drill_faults;
 mod lasting_callers;
 mod notice_check;
+mod path_check;
+mod path_faults;
 mod promise_check;
 mod series_faults;
 mod soak_error;
@@ -36,6 +39,7 @@
 pub use call_history::ExecutionRecord;
 pub use call_history::HoldRecord;
 pub use call_history::HostOutage;
+pub use call_history::PathCutRecord;
 pub use call_history::ReadyProbe;
 pub use promise_check::BrokenPromise;
 pub use promise_check::check_promises;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -50,7 +50,7 @@
     },
     /// Runs the seeds listed in a file.
     File {
-        /// Seed file: one seed per line, after `series` or `drill` for that mode, optionally
+        /// Seed file: one seed per line, after `series`, `drill` or `paths` for that mode, optionally
         /// followed by a remark; # starts a comment line.
         path: PathBuf,
         #[command(flatten)]
@@ -75,6 +75,10 @@
     /// from older copies.
     #[arg(long, conflicts_with = "series")]
     drill: bool,
+    /// As --series or --drill, with hosts that lose their path to all instances and instances that
+    /// send bytes without end.
+    #[arg(long, conflicts_with_all = ["series", "drill"])]
+    paths: bool,
     /// Number of host processes.
     #[arg(long, default_value_t = 6)]
     hosts: usize,
@@ -124,7 +128,9 @@
 impl RunOptions {
     /// Mode of the seeds that are not read from a file.
     fn mode(&self) -> SoakMode {
-        if self.drill {
+        if self.paths {
+            SoakMode::Paths
+        } else if self.drill {
             SoakMode::Drill
         } else if self.series {
             SoakMode::Series
@@ -137,7 +143,9 @@
     fn size(&self, mode: SoakMode) -> SoakSize {
         let (instances, callers) = match mode {
             SoakMode::Single => (INSTANCES, CALLERS),
-            SoakMode::Series | SoakMode::Drill => (SERIES_INSTANCES, SERIES_CALLERS),
+            SoakMode::Series | SoakMode::Drill | SoakMode::Paths => {
+                (SERIES_INSTANCES, SERIES_CALLERS)
+            }
         };
         SoakSize {
             hosts: self.hosts,
@@ -167,11 +175,14 @@
             SoakMode::Single => "",
             SoakMode::Series => "series ",
             SoakMode::Drill => "drill ",
+            SoakMode::Paths => "paths ",
         };
         let (departures, holds) = report.notice_counts;
         let notices = match mode {
             SoakMode::Single | SoakMode::Series => String::new(),
-            SoakMode::Drill => format!(", {departures} departures passed on, {holds} holds"),
+            SoakMode::Drill | SoakMode::Paths => {
+                format!(", {departures} departures passed on, {holds} holds")
+            }
         };
         println!(
             "{prefix}seed {seed}: {result}, {calls} calls, {served} served, {executed} executed{notices}"
@@ -213,6 +224,7 @@
             let (mode, rest) = match line.split_once(' ') {
                 Some(("series", rest)) => (SoakMode::Series, rest),
                 Some(("drill", rest)) => (SoakMode::Drill, rest),
+                Some(("paths", rest)) => (SoakMode::Paths, rest),
                 _ => (SoakMode::Single, line),
             };
             let seed = rest.split_whitespace().next().unwrap_or_default();
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -15,6 +15,7 @@
 use crate::CallRecord;
 use crate::notice_check::check_departures;
 use crate::notice_check::check_holds;
+use crate::path_check::check_path_cuts;
 use crate::stop_check::check_missing_response;
 use crate::stop_check::check_readiness;
 use crate::stop_check::check_replaced_response;
@@ -99,6 +100,8 @@
     VersionWentBack(String, usize, u64, u64),
     /// {0} of {1} calls that each configuration allows were denied, {2} allowed
     Denied(usize, usize, usize),
+    /// hosts without a path served {0} of {1} calls, the others {2} of {3}, in the cut from {4} ms on
+    ServedLessWithoutPath(usize, usize, usize, usize, u64),
     /// fleet did not recover: {0} of {1} calls served at the end
     NotRecovered(usize, usize),
     /// host {0} exited without being killed or asked to stop
@@ -154,6 +157,7 @@
     broken.extend(check_holds(history));
     broken.extend(check_versions(history, &calls));
     broken.extend(check_denials(history));
+    broken.extend(check_path_cuts(history));
     broken.extend(check_limit(history));
     broken.extend(check_retries(history));
     broken.extend(check_recovery(history));
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -8,6 +8,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
@@ -167,7 +168,7 @@
             instances.push(instance);
             instance_links.push(instance_link);
         }
-        if mode == SoakMode::Drill {
+        if mode.has_drills() {
             store.tell_era();
         }
         let mut store_links = Vec::new();
@@ -221,6 +222,11 @@
         HostAddresses { ip }.directory()
     }
 
+    /// IP address of the host with this index.
+    pub(crate) fn host_ip(&self, host: usize) -> IpAddr {
+        IpAddr::from([127, self.net, 1, host as u8 + 1])
+    }
+
     /// Index of the host that listens at `address`.
     pub(crate) fn host_at(&self, address: SocketAddr) -> usize {
         match address {
@@ -457,7 +463,7 @@
         service: SERVICE,
         timeout_ms: route_timeout_ms(mode),
         workspaces,
-        version_key: (mode == SoakMode::Drill).then(|| workspace_key(VERSION_WORKSPACE)),
+        version_key: mode.has_drills().then(|| workspace_key(VERSION_WORKSPACE)),
     }
 }
 
@@ -465,7 +471,7 @@
 fn route_timeout_ms(mode: SoakMode) -> u64 {
     match mode {
         SoakMode::Single => DEADLINE_MS,
-        SoakMode::Series | SoakMode::Drill => SERIES_TIMEOUT_MS,
+        SoakMode::Series | SoakMode::Drill | SoakMode::Paths => SERIES_TIMEOUT_MS,
     }
 }
 
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -10,6 +10,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::path_faults::CUT_MS;
+
 /// Milliseconds after the start of the load by which all faults have begun.
 pub(crate) const MAX_START_MS: u64 = 10_000;
 
@@ -34,6 +36,15 @@
 /// Random stream of the faults that only the drill mode has.
 const DRILL_STREAM: u64 = 2;
 
+/// Random stream of the faults that only the paths mode has.
+const PATHS_STREAM: u64 = 3;
+
+/// Bounds of the number of cuts in the paths mode.
+const PATH_CUTS: std::ops::RangeInclusive<usize> = 1..=3;
+
+/// Largest number of faults of instances that send without end.
+const MAX_ENDLESS: usize = 2;
+
 /// Bounds of the number of faults of each kind that only the drill mode has.
 const DRILL_FAULTS: std::ops::RangeInclusive<usize> = 2..=4;
 
@@ -68,6 +79,16 @@
     /// The series mode, with instances that leave or want no requests, and a store that comes back
     /// from older copies.
     Drill,
+    /// The drill mode, with hosts that lose their path to all instances and instances that send
+    /// bytes without end.
+    Paths,
+}
+
+impl SoakMode {
+    /// Whether instances say what they want and the store tells its era.
+    pub(crate) fn has_drills(self) -> bool {
+        matches!(self, SoakMode::Drill | SoakMode::Paths)
+    }
 }
 
 /// Size of the fleet and its load.
@@ -142,6 +163,10 @@
     /// The store is away for the first milliseconds and comes back from a copy that is as old as
     /// the second ones.
     StoreRestored(u64, u64),
+    /// Hosts drawn from this seed lose the path to all instances, in the way with this number.
+    HostsCut(u32, u8),
+    /// Instances drawn from this seed send bytes without end, at the part with this number.
+    InstancesEndless(u32, u8),
 }
 
 /// Fault with the time at which it happens.
@@ -235,6 +260,34 @@
         SoakPlan { faults }
     }
 
+    /// Draws the plan of the paths mode for `seed` in a fleet of this size: that of the series or
+    /// the drill mode, or no other faults, and cut paths and bytes without end beside it.
+    pub fn draw_paths(seed: u64, size: SoakSize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(PATHS_STREAM);
+        let mut faults = match rng.random_range(0..3) {
+            0 => Vec::new(),
+            1 => Self::draw_series(seed, size).faults,
+            _ => Self::draw_drill(seed, size).faults,
+        };
+        for _ in 0..rng.random_range(PATH_CUTS) {
+            faults.push(PlannedFault {
+                start_ms: rng.random_range(MIN_START_MS..MAX_START_MS),
+                duration_ms: rng.random_range(CUT_MS),
+                kind: FaultKind::HostsCut(rng.random(), rng.random()),
+            });
+        }
+        for _ in 0..rng.random_range(0..=MAX_ENDLESS) {
+            faults.push(PlannedFault {
+                start_ms: rng.random_range(MIN_START_MS..MAX_START_MS),
+                duration_ms: rng.random_range(MIN_DURATION_MS..MAX_DURATION_MS),
+                kind: FaultKind::InstancesEndless(rng.random(), rng.random()),
+            });
+        }
+        faults.sort_by_key(|fault| fault.start_ms);
+        SoakPlan { faults }
+    }
+
     /// End of the last fault, in milliseconds after the start of the load.
     pub fn end_ms(&self) -> u64 {
         let ends = self.faults.iter();
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -27,6 +27,8 @@
 use crate::drill_faults::leave_instances;
 use crate::drill_faults::restore_store;
 use crate::lasting_callers::run_lasting_caller;
+use crate::path_faults::cut_hosts;
+use crate::path_faults::send_without_end;
 use crate::promise_check::LIMITED_WORKSPACE;
 use crate::promise_check::RECOVERY_MS;
 use crate::promise_check::RECOVERY_WINDOW_MS;
@@ -84,6 +86,7 @@
         SoakMode::Single => SoakPlan::draw(seed, size),
         SoakMode::Series => SoakPlan::draw_series(seed, size),
         SoakMode::Drill => SoakPlan::draw_drill(seed, size),
+        SoakMode::Paths => SoakPlan::draw_paths(seed, size),
     };
     let fleet = SoakFleet::start(net, mode, size).await?;
     compio::runtime::spawn(Rc::clone(&fleet).watch_hosts()).detach();
@@ -94,7 +97,7 @@
         let fleet = Rc::clone(&fleet);
         match mode {
             SoakMode::Single => compio::runtime::spawn(run_caller(fleet, seed, caller_index)),
-            SoakMode::Series | SoakMode::Drill => {
+            SoakMode::Series | SoakMode::Drill | SoakMode::Paths => {
                 compio::runtime::spawn(run_lasting_caller(fleet, seed, caller_index))
             }
         }
@@ -138,6 +141,7 @@
             SoakMode::Single => format!("seed-{seed}"),
             SoakMode::Series => format!("series-{seed}"),
             SoakMode::Drill => format!("drill-{seed}"),
+            SoakMode::Paths => format!("paths-{seed}"),
         };
         fleet.copy_host_files(&logs.join(name))?;
     }
@@ -267,6 +271,10 @@
         FaultKind::StoreRestored(away_ms, age_ms) => {
             restore_store(&fleet, away_ms, age_ms).await;
         }
+        FaultKind::HostsCut(seed, choice) => cut_hosts(&fleet, seed, choice, end_ms).await?,
+        FaultKind::InstancesEndless(seed, choice) => {
+            send_without_end(&fleet, seed, choice, end_ms).await;
+        }
         series_fault => inject_series_fault(&fleet, series_fault, end_ms).await?,
     }
     Ok(())
--- a/crates/soak/src/stop_check.rs
+++ b/crates/soak/src/stop_check.rs
@@ -123,7 +123,14 @@
             arrival.result == ArrivalResult::Abandoned && overlaps(&arrival.span_ms, cut)
         })
     });
-    is_time_over || is_late_work || is_cut
+    let is_path_cut = history.path_cuts.iter().any(|cut| {
+        arrivals.iter().any(|arrival| {
+            arrival.result == ArrivalResult::Abandoned
+                && cut.hosts.contains(&arrival.host)
+                && overlaps(&arrival.span_ms, &cut.span_ms)
+        })
+    });
+    is_time_over || is_late_work || is_cut || is_path_cut
 }
 
 fn overlaps(left: &Range<u64>, right: &Range<u64>) -> bool {
