--- a/crates/policy/src/service_path.rs
+++ b/crates/policy/src/service_path.rs
@@ -66,6 +66,11 @@
 }
 
 impl UnconfirmedOutcome {
+    /// Whether a new connection failed; one that is open but silent may have a slow instance.
+    fn is_failed_connection(&self) -> bool {
+        self.contact == PathContact::NewConnection && self.outcome != AttemptOutcome::Late
+    }
+
     /// Whether the attempt began before `time`.
     fn began_before(&self, time: ClockTime) -> bool {
         self.failed_at.minus(self.latency_ms) < time
@@ -102,7 +107,7 @@
         self.unconfirmed.push(failure);
         let unreachable = || {
             let failures = self.unconfirmed.iter();
-            failures.filter(|failure| failure.contact == PathContact::NewConnection)
+            failures.filter(|failure| failure.is_failed_connection())
         };
         let keys: BTreeSet<InstanceKey> = unreachable().map(|failure| failure.key).collect();
         let since = unreachable().map(|failure| failure.failed_at).min();
@@ -182,8 +187,7 @@
     pub(crate) fn needs_probe(&mut self, is_unknown: bool, now: ClockTime) -> bool {
         self.remove_expired(now);
         let is_doubtful = self.unconfirmed.iter().any(|failure| {
-            failure.contact == PathContact::NewConnection
-                || now.since(failure.failed_at) >= AWAIT_RESPONSE_MS
+            failure.is_failed_connection() || now.since(failure.failed_at) >= AWAIT_RESPONSE_MS
         });
         let interval_ms = if is_doubtful {
             DOUBT_PROBE_INTERVAL_MS
--- a/crates/policy/tests/lost_paths.rs
+++ b/crates/policy/tests/lost_paths.rs
@@ -159,6 +159,22 @@
     }
 }
 
+// Guards against slow instances being taken for a lost path.
+#[test]
+fn late_responses_on_new_connections_lose_no_path() {
+    let mut monitor = PathMonitor::default();
+    for index in 0..INSTANCES {
+        let failure = UnconfirmedOutcome {
+            key: key(index),
+            outcome: AttemptOutcome::Late,
+            contact: PathContact::NewConnection,
+            latency_ms: CONNECT_MS,
+            failed_at: at(600),
+        };
+        assert_eq!(monitor.record_failure(SERVICE, failure, INSTANCES), None);
+    }
+}
+
 /// Sends a request to some instance of `table`.
 fn choose(table: &mut InstanceTable) -> InstanceKey {
     let safety = RetrySafety::Idempotent;
