Count a late attempt if any instance was reached since it began

Late attempts waited until this host reached as many other instances as were late, so while all instances of a service were slow none or only some counted.

--- a/crates/edge/src/path_observer.rs
+++ b/crates/edge/src/path_observer.rs
@@ -32,7 +32,7 @@
         latency_ms,
         failed_at: now,
     };
-    let change = {
+    let (confirmed, change) = {
         let mut table = context.instances.borrow_mut();
         match outcome {
             AttemptOutcome::Unreachable => table.record_unreachable(key, now),
@@ -44,6 +44,9 @@
         let mut paths = context.paths.borrow_mut();
         paths.record_failure(service, failure, instance_count)
     };
+    if confirmed.is_some() {
+        observe_outcome(context, key, outcome, latency_ms);
+    }
     apply_change(context, key, change);
 }
 
--- a/crates/policy/src/path_monitor.rs
+++ b/crates/policy/src/path_monitor.rs
@@ -31,17 +31,17 @@
 }
 
 impl PathMonitor {
-    /// Records an unconfirmed failure at one of the `instance_count` usable instances of
-    /// `service`.
+    /// Records a failure at one of the `instance_count` usable instances of `service`; returns it if
+    /// it counts already.
     pub fn record_failure(
         &mut self,
         service: &str,
         failure: UnconfirmedOutcome,
         instance_count: usize,
-    ) -> Option<PathChange> {
+    ) -> (Option<UnconfirmedOutcome>, Option<PathChange>) {
         let path = self.services.entry(service.into()).or_default();
-        let is_lost = path.record_failure(failure, instance_count);
-        is_lost.then_some(PathChange::Lost)
+        let (confirmed, is_lost) = path.record_failure(failure, instance_count);
+        (confirmed, is_lost.then_some(PathChange::Lost))
     }
 
     /// Records that this host reached the instance `key` of `service`; returns the failures at
--- a/crates/policy/src/service_path.rs
+++ b/crates/policy/src/service_path.rs
@@ -5,7 +5,7 @@
 //! has lost its path. Attempts that failed without any response are therefore
 //! unconfirmed at first. They count as failures of their instances once this
 //! host reached at least as many other instances afterwards; otherwise they
-//! expire. If new connections to several instances fail and none succeeds
+//! expire. A late attempt also counts when its instance does respond. If new connections to several instances fail and none succeeds
 //! meanwhile, the path is lost until one does again.
 //!
 //! A connection that opens proves nothing, as it may be reset at once; it counts
@@ -71,9 +71,9 @@
         self.contact == PathContact::NewConnection && self.outcome != AttemptOutcome::Late
     }
 
-    /// Whether the attempt began before `time`.
-    fn began_before(&self, time: ClockTime) -> bool {
-        self.failed_at.minus(self.latency_ms) < time
+    /// When the attempt began.
+    fn began_at(&self) -> ClockTime {
+        self.failed_at.minus(self.latency_ms)
     }
 }
 
@@ -92,18 +92,21 @@
 }
 
 impl ServicePath {
-    /// Records an unconfirmed failure at one of `instance_count` usable instances; returns whether
-    /// the path is lost since then.
+    /// Records a failure at one of `instance_count` usable instances; returns the failure if it
+    /// counts already, and whether the path is lost since then.
     pub(crate) fn record_failure(
         &mut self,
         failure: UnconfirmedOutcome,
         instance_count: usize,
-    ) -> bool {
+    ) -> (Option<UnconfirmedOutcome>, bool) {
         // An attempt that began while the path was lost says nothing about its instance.
-        if self.is_lost || self.back_at.is_some_and(|at| failure.began_before(at)) {
-            return false;
+        if self.is_lost || self.back_at.is_some_and(|at| failure.began_at() < at) {
+            return (None, false);
         }
         self.remove_expired(failure.failed_at);
+        if failure.outcome == AttemptOutcome::Late && self.is_confirmed(&failure, 1) {
+            return (Some(failure), false);
+        }
         self.unconfirmed.push(failure);
         let unreachable = || {
             let failures = self.unconfirmed.iter();
@@ -120,7 +123,7 @@
         if self.is_lost {
             self.unconfirmed.clear();
         }
-        self.is_lost
+        (None, self.is_lost)
     }
 
     /// Records that this host reached the instance `key`; returns the failures that this confirms
@@ -147,18 +150,33 @@
         self.remove_expired(now);
         let failing: BTreeSet<InstanceKey> =
             self.unconfirmed.iter().map(|failure| failure.key).collect();
-        let (confirmed, unconfirmed) = std::mem::take(&mut self.unconfirmed)
-            .into_iter()
-            .partition(|failure| self.reached_since(failure) >= failing.len());
+        let (confirmed, unconfirmed) =
+            std::mem::take(&mut self.unconfirmed)
+                .into_iter()
+                .partition(|failure| {
+                    let is_own_response =
+                        failure.outcome == AttemptOutcome::Late && failure.key == key;
+                    is_own_response || self.is_confirmed(failure, failing.len())
+                });
         self.unconfirmed = unconfirmed;
         (confirmed, is_back)
     }
 
-    /// Number of other instances that this host reached in the way of `failure` since then.
-    fn reached_since(&self, failure: &UnconfirmedOutcome) -> usize {
-        let is_witness = |(key, at): &(&InstanceKey, &ClockTime)| {
-            **key != failure.key && **at >= failure.failed_at
-        };
+    /// Whether `failure` counts, while attempts at `failing_count` instances failed.
+    ///
+    /// A late attempt goes on, so one other instance that was reached since it began is enough.
+    fn is_confirmed(&self, failure: &UnconfirmedOutcome, failing_count: usize) -> bool {
+        if failure.outcome == AttemptOutcome::Late {
+            self.reached_since(failure, failure.began_at()) > 0
+        } else {
+            self.reached_since(failure, failure.failed_at) >= failing_count
+        }
+    }
+
+    /// Number of other instances that this host reached in the way of `failure` since `since`.
+    fn reached_since(&self, failure: &UnconfirmedOutcome, since: ClockTime) -> usize {
+        let is_witness =
+            |(key, at): &(&InstanceKey, &ClockTime)| **key != failure.key && **at >= since;
         let on_new = self.new_contacts.iter().filter(is_witness);
         if failure.contact == PathContact::NewConnection {
             return on_new.count();
