Log and count the limits that instances name

The logs of the incident could not tell whether the excess at a limited instance came from hosts that had heard the limit, nor when they heard it. Hosts now read the header, remember per start of an instance what it said last, log each change as "instance limit" and count the statements as instance_signals{reason=limit}. A lower limit is believed at once; a higher one or none only in a response to a request that was sent after the known one was learnt, since responses overtake each other.

Nothing is chosen or refused differently yet.

--- a/crates/edge/src/in_flight_guard.rs
+++ b/crates/edge/src/in_flight_guard.rs
@@ -121,10 +121,20 @@
         table.get(self.key).accepts_requests(now)
     }
 
-    /// Records what the instance says about itself in a response with `headers`.
-    pub(crate) fn record_signals(&self, signals: InstanceSignals, headers: &HeaderMap) {
+    /// Records what the instance says about itself in a response with `headers`;
+    /// `is_own_response` is whether it responds to this attempt.
+    pub(crate) fn record_signals(
+        &self,
+        signals: InstanceSignals,
+        headers: &HeaderMap,
+        is_own_response: bool,
+    ) {
         let now = ClockTime::now();
         let mut table = self.context.instances.borrow_mut();
+        // A late response to another attempt may be older than the end of a limit.
+        let says_limit = signals.limit_per_s.is_some() || (is_own_response && !signals.names_limit);
+        let is_new_limit =
+            says_limit && table.record_limit(self.key, signals.limit_per_s, self.started_at, now);
         let is_new_leaving = signals.is_leaving && table.record_leaving(self.key, now);
         let is_new_hold = signals
             .hold_ms
@@ -147,6 +157,14 @@
                 "service" => listing.service.as_str(), "cause" => "its response",
                 "millis" => signals.hold_ms);
         }
+        if signals.limit_per_s.is_some() {
+            metrics.count_signal("limit");
+        }
+        if is_new_limit {
+            info!(logger, "instance limit"; "instance" => listing.id.as_str(),
+                "service" => listing.service.as_str(), "cause" => "its response",
+                "per_s" => signals.limit_per_s);
+        }
         let Some(header) = signals.suspect_header else {
             return;
         };
--- a/crates/edge/src/instance_attempt.rs
+++ b/crates/edge/src/instance_attempt.rs
@@ -240,9 +240,9 @@
         };
     }
     let signals = InstanceSignals::decode(head.status, &head.headers);
-    guard.record_signals(signals, &head.headers);
     // A response to another attempt proves nothing about this one.
     let echoes_attempt_id = input.head.attempt_id() == head.headers.get(names::ATTEMPT_ID_HEADER);
+    guard.record_signals(signals, &head.headers, echoes_attempt_id);
     if echoes_attempt_id && head.headers.contains_key(names::NOT_EXECUTED_HEADER) {
         guard.record_shed();
         pool_after_body(context, connection, &head.headers, body, input).await;
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -28,6 +28,7 @@
 use crate::InstanceKey;
 use crate::InstanceListing;
 use crate::InstanceState;
+use crate::LimitStatement;
 use crate::ListingChange;
 use crate::ListingChanges;
 use crate::OutcomeCounts;
@@ -44,6 +45,7 @@
 use crate::instance_selector::InstanceCandidate;
 use crate::instance_selector::InstanceSelector;
 use crate::instance_selector::prefer_past_backoff;
+use crate::limit_ledger::LimitLedger;
 use crate::name_hash;
 use crate::service_counts::ServiceLoad;
 use crate::trial_offers::TrialOffers;
@@ -96,6 +98,8 @@
     merged_era: StoreEra,
     /// Starts of instances that are leaving, listed or not.
     departures: DepartureLedger,
+    /// Limits that instances named.
+    limits: LimitLedger,
 }
 
 impl InstanceTable {
@@ -506,6 +510,49 @@
         self.departures.told(draw, is_present, now)
     }
 
+    /// Records the limit that the instance `key` named in a response, or that it named none, if
+    /// the request was sent at `sent_at`; returns whether the limit has changed.
+    pub fn record_limit(
+        &mut self,
+        key: InstanceKey,
+        per_s: Option<f64>,
+        sent_at: ClockTime,
+        now: ClockTime,
+    ) -> bool {
+        let start = self.instances[key].departure_notice();
+        self.limits.record(start, per_s, sent_at, now)
+    }
+
+    /// Applies a statement from another host; returns the instance if its limit has changed.
+    pub fn apply_limit(
+        &mut self,
+        statement: LimitStatement,
+        now: ClockTime,
+    ) -> Option<InstanceKey> {
+        if !self.limits.apply(statement, now) {
+            return None;
+        }
+        self.find_start(DepartureNotice {
+            instance: statement.instance,
+            started_at_unix_ms: statement.started_at_unix_ms,
+        })
+    }
+
+    /// Statements about limits for one message to another host; `draw` is a random number from 0
+    /// to 1.
+    pub fn told_limits(&self, draw: f64, now: ClockTime) -> Vec<LimitStatement> {
+        let is_present = |start| {
+            let key = self.find_start(start);
+            key.is_some_and(|key| self.instances[key].presence != Presence::Gone)
+        };
+        self.limits.told(draw, is_present, now)
+    }
+
+    /// Limit in requests a second that the instance `key` named, if any.
+    pub fn limit(&self, key: InstanceKey) -> Option<f64> {
+        self.limits.limit(self.instances[key].departure_notice())
+    }
+
     /// Latest start of the instance of `notice`, if the notice is about that start.
     fn find_start(&self, notice: DepartureNotice) -> Option<InstanceKey> {
         let key = self.find_hash(notice.instance)?;
