Share the limits that instances name among all hosts

Callers saw requests fail at instances in need, which had named how many requests a second they take from all hosts together and got several times as many.

Class: a bound over the whole fleet that each host would have to keep alone. Reading it in each host alone wouldn't do: at 3.8 a second, 44 hosts with one request each are 44 where 28 are allowed.

Change: hosts tell each other what instances said, numbered, so that the newest statement holds whatever the order of messages. A limited instance gets only requests for which the host has a permit of its hub. A hub issues the part of the limit that its reporters are of all hosts, so hubs need no exchange for it; the permits that may still be used are bounded, a lapsed one is issued again once its host reports it, and one in doubt counts as used. A host without an answering hub, or that just started, sends nothing. Attempts of all kinds go through the same choice: trials of limited instances are permits, hedges, retries and relayed requests need one. If all instances of a service are limited, a request without a permit is refused at once, less urgent ones keep the last permit free.

Ruled out: retries, hedges and trials as the cause; the failing test has none.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -25,6 +25,7 @@
 use crocushoist_policy::InstanceTable;
 use crocushoist_policy::LimitIndex;
 use crocushoist_policy::PathMonitor;
+use crocushoist_policy::PermitPool;
 use crocushoist_policy::ReadSharing;
 use crocushoist_policy::RelayChoice;
 use crocushoist_policy::RetryAccount;
@@ -146,6 +147,10 @@
     pub(crate) retry_ledger: RefCell<RetryLedger>,
     /// Sequence number of the report whose answer had the retry grants in force.
     pub(crate) retry_granted: Cell<u32>,
+    /// At the hub: permits for requests to instances that named a limit.
+    pub(crate) permit_pool: RefCell<PermitPool>,
+    /// Sequence number of the report whose answer had the last permits.
+    pub(crate) permits_added: Cell<u32>,
     /// Registered hosts.
     pub(crate) roster: RefCell<HostRoster>,
     /// Sums over the hosts that report to this one.
@@ -238,6 +243,8 @@
             retry_accounts: RefCell::default(),
             retry_ledger: RefCell::default(),
             retry_granted: Cell::new(0),
+            permit_pool: RefCell::default(),
+            permits_added: Cell::new(0),
             roster: RefCell::default(),
             aggregator: RefCell::default(),
             estimate_feed: RefCell::default(),
--- a/crates/edge/src/edge_refusal.rs
+++ b/crates/edge/src/edge_refusal.rs
@@ -40,6 +40,8 @@
     NoInstance,
     /// Each usable instance wants no requests from this host for a time.
     InstancesOnHold,
+    /// Each usable instance named a limit, and no request of this host's part is left.
+    InstancesLimited,
     /// This host reaches no instance of the service, and no other host took the request.
     NoPath,
     /// No further attempt is allowed and none ran the request.
@@ -80,6 +82,7 @@
             EdgeReason::Overloaded => "overloaded",
             EdgeReason::NoInstance => "no_instance",
             EdgeReason::InstancesOnHold => "instances_on_hold",
+            EdgeReason::InstancesLimited => "instances_limited",
             EdgeReason::NoPath => "no_path",
             EdgeReason::RetriesExhausted => "not_run_anywhere",
             EdgeReason::NotSent => "not_sent",
@@ -103,6 +106,7 @@
             | EdgeReason::Overloaded
             | EdgeReason::NoInstance
             | EdgeReason::InstancesOnHold
+            | EdgeReason::InstancesLimited
             | EdgeReason::NoPath
             | EdgeReason::RetriesExhausted
             | EdgeReason::NotSent
--- /dev/null
+++ b/crates/edge/src/limit_exchange.rs
@@ -0,0 +1,128 @@
+//! Tells other hosts which limits instances named, and hands out the permits for
+//! requests to them.
+//!
+//! A hub counts a host's permits by its reports, and a host uses permits only of
+//! the hub that it reports to. Without an answer of a hub it gets none, and
+//! sends such an instance nothing.
+
+use std::net::SocketAddr;
+
+use slog::info;
+
+use crocushoist_policy::LimitStatement;
+use crocushoist_policy::PermitGrant;
+use crocushoist_policy::name_hash;
+use crocushoist_state::ClockTime;
+
+use crate::edge_context::EdgeContext;
+use crate::peer_notes::PeerNotes;
+use crate::peer_notes::WireGrant;
+use crate::peer_notes::WireStatement;
+
+/// Notes of a report of this host.
+pub(crate) fn report_notes(context: &EdgeContext, now: ClockTime) -> PeerNotes {
+    let lapsed = {
+        let mut table = context.instances.borrow_mut();
+        table.lapsed_permits(now)
+    };
+    PeerNotes {
+        lapsed: lapsed.iter().map(Into::into).collect(),
+        wanted: wanted_permits(context, now),
+        ..summary_notes(context, now)
+    }
+}
+
+/// Permits that this host wants, by the hash of the service's name.
+fn wanted_permits(context: &EdgeContext, now: ClockTime) -> Vec<WireGrant> {
+    let table = context.instances.borrow();
+    let mut accounts = context.retry_accounts.borrow_mut();
+    let wanted = accounts.iter_mut().filter_map(|(service, account)| {
+        let requests = account.counts(service, now).requests;
+        let count = table.wanted_permits(service, requests, now)?;
+        Some(WireGrant::new(name_hash(service), count))
+    });
+    wanted.collect()
+}
+
+/// Notes of a summary.
+pub(crate) fn summary_notes(context: &EdgeContext, now: ClockTime) -> PeerNotes {
+    let table = context.instances.borrow();
+    let told = table.told_limits(rand::random(), now);
+    PeerNotes {
+        limits: told.iter().map(Into::into).collect(),
+        ..PeerNotes::default()
+    }
+}
+
+/// Notes of the answer to a report with the notes `asked`; only a hub issues permits.
+pub(crate) fn answer_notes(context: &EdgeContext, asked: &PeerNotes, now: ClockTime) -> PeerNotes {
+    let mut notes = summary_notes(context, now);
+    if !context.is_hub.get() {
+        return notes;
+    }
+    let part = context.aggregator.borrow().fleet_part(now);
+    let table = context.instances.borrow();
+    let mut pool = context.permit_pool.borrow_mut();
+    let mut permits = Vec::new();
+    for wanted in &asked.wanted {
+        let (service, count) = wanted.parts();
+        let draw = rand::random();
+        permits.extend(table.issue_permits(&mut pool, service, count, part, draw, now));
+    }
+    notes.permits = permits.iter().map(Into::into).collect();
+    notes
+}
+
+/// Applies the notes of a report of the host at `peer`.
+pub(crate) fn apply_report_notes(
+    context: &EdgeContext,
+    peer: SocketAddr,
+    incarnation: u64,
+    notes: &PeerNotes,
+    now: ClockTime,
+) {
+    apply_statements(context, peer, &notes.limits, now);
+    let lapsed: Vec<PermitGrant> = notes.lapsed.iter().map(Into::into).collect();
+    let mut pool = context.permit_pool.borrow_mut();
+    pool.apply_lapsed((peer, incarnation), &lapsed, now);
+}
+
+/// Applies the notes of the answer with the number `number` to a report that was sent at
+/// `report_sent_at`. A datagram may arrive twice; its permits hold once.
+pub(crate) fn apply_answer_notes(
+    context: &EdgeContext,
+    hub: SocketAddr,
+    number: u32,
+    notes: &PeerNotes,
+    report_sent_at: ClockTime,
+    now: ClockTime,
+) {
+    apply_statements(context, hub, &notes.limits, now);
+    if notes.permits.is_empty() || number <= context.permits_added.get() {
+        return;
+    }
+    context.permits_added.set(number);
+    let grants: Vec<PermitGrant> = notes.permits.iter().map(Into::into).collect();
+    let mut table = context.instances.borrow_mut();
+    table.add_permits(&grants, report_sent_at);
+}
+
+/// Applies statements that the host at `peer` told.
+pub(crate) fn apply_statements(
+    context: &EdgeContext,
+    peer: SocketAddr,
+    statements: &[WireStatement],
+    now: ClockTime,
+) {
+    let mut table = context.instances.borrow_mut();
+    for statement in statements.iter().map(LimitStatement::from) {
+        let Some(key) = table.apply_limit(statement, now) else {
+            continue;
+        };
+        let listing = &table.get(key).listing;
+        context.metrics.count_signal("limit_told");
+        info!(context.logger, "instance limit"; "instance" => listing.id.as_str(),
+            "service" => listing.service.as_str(), "cause" => "told by a host",
+            "peer" => peer.to_string(), "per_s" => statement.per_s);
+    }
+}
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -34,7 +34,14 @@
 use crate::hub_exchange::new_summary;
 use crate::hub_exchange::update_advertised_hosts;
 use crate::hub_rejection::HubRejection;
+use crate::limit_exchange::answer_notes;
+use crate::limit_exchange::apply_answer_notes;
+use crate::limit_exchange::apply_report_notes;
+use crate::limit_exchange::apply_statements;
+use crate::limit_exchange::report_notes;
+use crate::limit_exchange::summary_notes;
 use crate::peer_message::PeerMessage;
+use crate::peer_notes::PeerNotes;
 
 /// Milliseconds between reports.
 const REPORT_INTERVAL_MS: u64 = 60;
@@ -148,8 +155,15 @@
                     continue;
                 }
             };
-            match postcard::from_bytes(&buffer[..length]) {
-                Ok(message) => self.handle_message(peer, message).await,
+            match PeerNotes::decode_with(&buffer[..length]) {
+                Ok((message, notes)) => {
+                    let notes = notes.unwrap_or_else(|error| {
+                        warn!(self.context.logger, "cannot decode the notes of a datagram";
+                            "peer" => peer.to_string(), "cause" => %error);
+                        PeerNotes::default()
+                    });
+                    self.handle_message(peer, message, &notes).await;
+                }
                 Err(error) => {
                     warn!(self.context.logger, "cannot decode a datagram";
                         "peer" => peer.to_string(), "cause" => %error);
@@ -235,7 +249,9 @@
                 now,
             )
         };
-        self.send_to(hub, &PeerMessage::Report(report)).await;
+        let notes = report_notes(&self.context, now);
+        self.send_to(hub, &PeerMessage::Report(report), &notes)
+            .await;
     }
 
     /// Acts as hub, with this host as one of its reporters.
@@ -254,6 +270,8 @@
             now,
         );
         apply_report(&self.context, own_address, &report, now);
+        let notes = report_notes(&self.context, now);
+        apply_report_notes(&self.context, own_address, report.incarnation, &notes, now);
         // This host has applied its own counters as a hub.
         self.context.is_counted.set(true);
         self.context.record_answered_report(now);
@@ -266,6 +284,8 @@
         }
         apply_retry_grants(&self.context, &answer, now);
         apply_assignments(&self.context, &answer, now);
+        let notes = answer_notes(&self.context, &notes, now);
+        apply_answer_notes(&self.context, own_address, answer.number, &notes, now, now);
     }
 
     /// Updates the sums over the reporting hosts, and sends them to other hubs at every second
@@ -304,7 +324,9 @@
                     now,
                 )
             };
-            self.send_to(hub, &PeerMessage::Summary(summary)).await;
+            let notes = summary_notes(&self.context, now);
+            self.send_to(hub, &PeerMessage::Summary(summary), &notes)
+                .await;
         }
     }
 
@@ -353,8 +375,8 @@
         candidates.get(index).copied()
     }
 
-    /// Applies a message from `peer`, and answers a report.
-    async fn handle_message(&self, peer: SocketAddr, message: PeerMessage) {
+    /// Applies a message from `peer` with its notes, and answers a report.
+    async fn handle_message(&self, peer: SocketAddr, message: PeerMessage, notes: &PeerNotes) {
         let now = ClockTime::now();
         self.context.roster.borrow_mut().clear_suspicion(peer);
         match message {
@@ -364,6 +386,7 @@
             PeerMessage::Report(_) if !self.context.can_be_hub() => {}
             PeerMessage::Report(report) => {
                 apply_report(&self.context, peer, &report, now);
+                apply_report_notes(&self.context, peer, report.incarnation, notes, now);
                 let answer = {
                     let mut cursors = self.cursors.borrow_mut();
                     let entry = cursors.entry(peer).or_insert_with(|| ReporterCursor {
@@ -377,16 +400,20 @@
                     }
                     new_answer(&self.context, peer, &report, &mut entry.cursor, now)
                 };
-                self.send_to(peer, &PeerMessage::Answer(answer)).await;
+                let notes = answer_notes(&self.context, notes, now);
+                self.send_to(peer, &PeerMessage::Answer(answer), &notes)
+                    .await;
             }
             PeerMessage::Answer(answer) => {
                 if let Some(sent_at) = self.match_answer(peer, answer.number) {
+                    apply_answer_notes(&self.context, peer, answer.number, notes, sent_at, now);
                     apply_answer(&self.context, peer, answer, sent_at, now);
                 }
             }
             PeerMessage::Summary(summary) => {
                 self.restart_selection(peer, summary.incarnation);
                 apply_summary(&self.context, peer, summary, now);
+                apply_statements(&self.context, peer, &notes.limits, now);
             }
         }
     }
@@ -415,9 +442,9 @@
         Some(sent_at)
     }
 
-    /// Sends `message` as one datagram; a failure is only logged.
-    async fn send_to(&self, peer: SocketAddr, message: &PeerMessage) {
-        let bytes = match postcard::to_allocvec(message) {
+    /// Sends `message` with `notes` as one datagram; a failure is only logged.
+    async fn send_to(&self, peer: SocketAddr, message: &PeerMessage, notes: &PeerNotes) {
+        let bytes = match notes.encode_with(message) {
             Ok(bytes) => bytes,
             Err(error) => {
                 warn!(self.context.logger, "cannot encode a datagram"; "cause" => %error);
--- a/crates/edge/src/relay_message.rs
+++ b/crates/edge/src/relay_message.rs
@@ -135,7 +135,10 @@
             EdgeReason::NoPath => WireReason::NoPath,
             EdgeReason::Stopping => WireReason::Stopping,
             EdgeReason::NoInstance => WireReason::NoInstance,
-            EdgeReason::InstancesOnHold => WireReason::InstancesOnHold,
+            // Hosts of the build before know no reason of its own for limits.
+            EdgeReason::InstancesOnHold | EdgeReason::InstancesLimited => {
+                WireReason::InstancesOnHold
+            }
             EdgeReason::RetriesExhausted => WireReason::RetriesExhausted,
             EdgeReason::TimeBeforeSend => WireReason::TimeBeforeSend,
             EdgeReason::TimeAfterSend => WireReason::TimeAfterSend,
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -65,6 +65,9 @@
 /// Milliseconds after which a caller should retry if no instance is left to choose.
 const NO_INSTANCE_RETRY_DELAY_MS: u64 = 500;
 
+/// Milliseconds after which a caller should retry if the limits of all instances are used up.
+pub(crate) const LIMITED_RETRY_DELAY_MS: u64 = 400;
+
 /// Range in milliseconds over which the returns of callers are spread that were refused because no
 /// instance takes requests; longer for those that wait longer, as more of them return together.
 const MIN_RETURN_SPREAD_MS: u64 = 300;
@@ -586,6 +589,8 @@
         (EdgeReason::InstancesOnHold, end.since(now))
     } else if table.usable_count(service, now) == 0 {
         (EdgeReason::NoInstance, NO_INSTANCE_RETRY_DELAY_MS)
+    } else if table.permit_count(service, now) == Some(0) {
+        (EdgeReason::InstancesLimited, LIMITED_RETRY_DELAY_MS)
     } else {
         return None;
     };
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -44,6 +44,7 @@
 use crate::edge_refusal::EdgeReason;
 use crate::edge_refusal::EdgeRefusal;
 use crate::forward_head::ForwardHead;
+use crate::request_forwarder::LIMITED_RETRY_DELAY_MS;
 use crate::request_forwarder::RequestForwarder;
 use crate::request_forwarder::refuse_unservable;
 use crate::request_progress::ProgressGuard;
@@ -284,6 +285,14 @@
         return Err(refusal);
     }
     let table = context.instances.borrow();
+    let permits = table.permit_count(service, ClockTime::now());
+    if permits.is_some_and(|permits| !rank.admits_with(permits)) {
+        let reason = EdgeReason::InstancesLimited;
+        return Err(EdgeRefusal::with_retry_after(
+            reason,
+            LIMITED_RETRY_DELAY_MS,
+        ));
+    }
     record.waiting_per_slot = table.min_queue_per_slot(service, ClockTime::now());
     match record.waiting_per_slot {
         Some(queue) if !rank.admits(queue) => {
--- a/crates/policy/src/admission_rank.rs
+++ b/crates/policy/src/admission_rank.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// Whether the request may be sent while this host has `permits` for the service, all of whose
+    /// instances named limits. The last one is kept for the most urgent requests.
+    pub fn admits_with(self, permits: u32) -> bool {
+        f64::from(permits) >= 1.0 + self.position
+    }
+
     /// Whether the request may be sent while the least loaded healthy instance has
     /// `queue_per_slot` requests waiting per slot.
     pub fn admits(self, queue_per_slot: f64) -> bool {
--- a/crates/policy/src/fleet_coverage.rs
+++ b/crates/policy/src/fleet_coverage.rs
@@ -17,6 +17,8 @@
 pub(crate) struct FleetCoverage {
     /// Numbers of reporting hosts in the last `UNREACHABLE_ADMISSION_MS`, oldest first.
     reporting_counts: VecDeque<(ClockTime, u32)>,
+    /// Hosts that may admit requests.
+    admitting: u32,
     fraction: f64,
 }
 
@@ -24,6 +26,7 @@
     fn default() -> Self {
         FleetCoverage {
             reporting_counts: VecDeque::new(),
+            admitting: 1,
             fraction: 1.0,
         }
     }
@@ -38,8 +41,13 @@
             self.reporting_counts.pop_front();
         }
         let counts = self.reporting_counts.iter().map(|(_, count)| *count);
-        let admitting = counts.max().unwrap_or(1).max(min_hosts).max(1);
-        self.fraction = f64::from(reporting) / f64::from(admitting);
+        self.admitting = counts.max().unwrap_or(1).max(min_hosts).max(1);
+        self.fraction = f64::from(reporting) / f64::from(self.admitting);
+    }
+
+    /// Part of the admitting hosts that `count` of them are.
+    pub(crate) fn part(&self, count: u32) -> f64 {
+        (f64::from(count) / f64::from(self.admitting)).min(1.0)
     }
 
     /// Fraction of the admitting hosts that report, from 0 to 1.
--- a/crates/policy/src/hub_aggregator.rs
+++ b/crates/policy/src/hub_aggregator.rs
@@ -196,6 +196,11 @@
         reporting.count() as u32
     }
 
+    /// Part of the admitting hosts of the fleet that report to this hub.
+    pub fn fleet_part(&self, now: ClockTime) -> f64 {
+        self.coverage.part(self.reporter_count(now))
+    }
+
     /// Whether the host at `peer_address` reported within `HOST_TIMEOUT_MS`.
     pub fn is_host_reporting(&self, peer_address: SocketAddr, now: ClockTime) -> bool {
         let reporter = self.hosts.get(&peer_address);
--- a/crates/policy/src/instance_selector.rs
+++ b/crates/policy/src/instance_selector.rs
@@ -56,6 +56,8 @@
     pub(crate) state: &'a InstanceState,
     /// Whether an idle connection to the instance exists.
     pub(crate) is_connected: bool,
+    /// Whether the instance named a limit, and this host has a permit for the request.
+    pub(crate) is_limited: bool,
 }
 
 /// Inputs of one selection.
@@ -98,7 +100,25 @@
         } else {
             self.find_trial(draws.1, |offer| offer.is_required)
         };
-        trial.or_else(|| self.select_by_cost(draws.1))
+        trial
+            .or_else(|| self.select_permitted(draws.1, allow_trial))
+            .or_else(|| self.select_by_cost(draws.1))
+    }
+
+    /// Selects an instance with a limit that has room, drawn with a random number from 0 to 1.
+    ///
+    /// Permits lapse soon, and the instances without a limit can wait for the next request. A
+    /// permit for a suspected instance is a trial.
+    fn select_permitted(&self, draw: f64, allow_trial: bool) -> Option<InstanceKey> {
+        let may_try = allow_trial && self.retry_safety == RetrySafety::Idempotent;
+        let has_room = |candidate: &&InstanceCandidate<'_>| {
+            candidate.is_limited
+                && candidate.state.queue_per_slot() <= 0.0
+                && (may_try || !candidate.state.is_suspected(self.now))
+        };
+        let permitted: Vec<_> = self.candidates.iter().filter(has_room).collect();
+        let index = (draw * permitted.len() as f64) as usize;
+        permitted.get(index).map(|candidate| candidate.key)
     }
 
     /// Selects a suspected instance for a trial request: one that the hub offered, or one
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -6,7 +6,8 @@
 //! fault probability alone never excludes an instance: while all of them look
 //! faulty, the least suspicious ones still serve requests. An instance that said
 //! that it is leaving gets none until it starts again, whatever its entry says,
-//! and one that wants no requests gets none until the time that it gave.
+//! and one that wants no requests gets none until the time that it gave. One that
+//! named a limit gets only requests for which this host has a permit of its hub.
 //!
 //! A store that came back from a copy may list instances that have left. The
 //! table therefore keeps its instances across eras, and an entry of a later era
@@ -32,6 +33,8 @@
 use crate::ListingChange;
 use crate::ListingChanges;
 use crate::OutcomeCounts;
+use crate::PermitGrant;
+use crate::PermitPool;
 use crate::Presence;
 use crate::PresenceEvidence;
 use crate::RelayedListing;
@@ -47,6 +50,7 @@
 use crate::instance_selector::prefer_past_backoff;
 use crate::limit_ledger::LimitLedger;
 use crate::name_hash;
+use crate::send_permits::SendPermits;
 use crate::service_counts::ServiceLoad;
 use crate::trial_offers::TrialOffers;
 use crate::trial_round::TrialKind;
@@ -73,6 +77,15 @@
 /// The platform's floor of 0.7 allows 0.43.
 const MAX_UNTRIED_RATIO: f64 = 0.3;
 
+/// Requests a second for which hubs issue permits at most while an instance with a limit is
+/// suspected.
+const LIMITED_TRIALS_PER_S: f64 = 1.0;
+
+/// Permits that a host with few requests wants to hold for a service, and the requests in ten
+/// seconds for each further one: a fifth of a second's.
+const MIN_WANTED_PERMITS: u32 = 2;
+const REQUESTS_PER_WANTED_PERMIT: u32 = 50;
+
 /// Known instances of all services.
 #[derive(Clone, Debug, Default)]
 pub struct InstanceTable {
@@ -100,6 +113,8 @@
     departures: DepartureLedger,
     /// Limits that instances named.
     limits: LimitLedger,
+    /// Requests that this host may send to instances with a limit.
+    permits: SendPermits,
 }
 
 impl InstanceTable {
@@ -548,9 +563,102 @@
         self.limits.told(draw, is_present, now)
     }
 
-    /// Limit in requests a second that the instance `key` named, if any.
-    pub fn limit(&self, key: InstanceKey) -> Option<f64> {
-        self.limits.limit(self.instances[key].departure_notice())
+    /// Adds the permits in the answer to a report that was sent at `reported_at`.
+    pub fn add_permits(&mut self, grants: &[PermitGrant], reported_at: ClockTime) {
+        self.permits.add(grants, reported_at);
+    }
+
+    /// Permits that lapsed since the start of this host.
+    pub fn lapsed_permits(&mut self, now: ClockTime) -> Vec<PermitGrant> {
+        let has_limit = |hash| {
+            let key = self.index.find_hash(hash);
+            key.is_some_and(|key| {
+                let start = self.instances[key].departure_notice();
+                self.limits.limit(start).is_some()
+            })
+        };
+        self.permits.lapsed(has_limit, now)
+    }
+
+    /// Permits that this host wants for the instances of `service`, of which it had `requests` in
+    /// the last ten seconds; `None` if none of them named a limit.
+    pub fn wanted_permits(&self, service: &str, requests: u32, now: ClockTime) -> Option<u32> {
+        let mut held = None;
+        for (start, _) in self.limits.limits() {
+            let key = self.find_start(start);
+            let state = key.map(|key| &self.instances[key]);
+            if state.is_some_and(|state| state.listing.service == service) {
+                held = Some(held.unwrap_or(0) + self.permits.count(start.instance, now));
+            }
+        }
+        let wanted = requests.min(MIN_WANTED_PERMITS) + requests / REQUESTS_PER_WANTED_PERMIT;
+        Some(wanted.max(1).saturating_sub(held?))
+    }
+
+    /// At the hub: permits of `pool` for a host that wants `wanted` for the service whose name has
+    /// the hash `service`; `part` of the fleet reports to this hub. `draw` is a random number from
+    /// 0 to 1.
+    ///
+    /// Suspected instances get no more than trials.
+    pub fn issue_permits(
+        &self,
+        pool: &mut PermitPool,
+        service: u32,
+        wanted: u32,
+        part: f64,
+        draw: f64,
+        now: ClockTime,
+    ) -> Vec<PermitGrant> {
+        let mut limited: Vec<(&InstanceState, f64)> = Vec::new();
+        for (start, limit) in self.limits.limits() {
+            let key = self.find_start(start);
+            let state = key.map(|key| &self.instances[key]);
+            if let Some(state) = state.filter(|state| state.is_usable(now))
+                && name_hash(&state.listing.service) == service
+            {
+                limited.push((state, limit));
+            }
+        }
+        let first = (draw * limited.len() as f64) as usize;
+        let last = limited.len().saturating_sub(1);
+        limited.rotate_left(first.min(last));
+        let mut grants = Vec::new();
+        let mut missing = wanted;
+        for (state, limit) in limited {
+            let per_s = if state.is_suspected(now) {
+                limit.min(LIMITED_TRIALS_PER_S)
+            } else {
+                limit
+            };
+            let count = pool.issue(state.hash, per_s, part, missing, now);
+            missing -= count;
+            if count > 0 {
+                grants.push(PermitGrant {
+                    instance: state.hash,
+                    count,
+                });
+            }
+        }
+        grants
+    }
+
+    /// Whether this host may send a request to the instance with `state`, which may have named a
+    /// limit.
+    fn is_permitted(&self, state: &InstanceState, now: ClockTime) -> bool {
+        self.limits.limit(state.departure_notice()).is_none()
+            || self.permits.count(state.hash, now) > 0
+    }
+
+    /// Permits for the instances of `service`; `None` if any that takes requests has no limit, or
+    /// none takes requests.
+    pub fn permit_count(&self, service: &str, now: ClockTime) -> Option<u32> {
+        let members = self.usable_members(service, now);
+        let mut count = None;
+        for (_, state) in members.filter(|(_, state)| !state.is_on_hold(now)) {
+            self.limits.limit(state.departure_notice())?;
+            count = Some(count.unwrap_or(0) + self.permits.count(state.hash, now));
+        }
+        count
     }
 
     /// Latest start of the instance of `notice`, if the notice is about that start.
@@ -600,10 +708,12 @@
         let candidates = self
             .usable_members(service, now)
             .filter(|(key, state)| !tried.contains(key) && !state.is_on_hold(now))
+            .filter(|(_, state)| self.is_permitted(state, now))
             .map(|(key, state)| InstanceCandidate {
                 key,
                 state,
                 is_connected: is_connected(state.listing.address),
+                is_limited: self.limits.limit(state.departure_notice()).is_some(),
             });
         let selector = InstanceSelector {
             candidates: prefer_past_backoff(candidates.collect(), now),
@@ -614,7 +724,9 @@
             now,
         };
         let chosen = selector.select(draws, allow_trial)?;
-        self.instances[chosen].record_sent();
+        let state = &mut self.instances[chosen];
+        state.record_sent();
+        self.permits.spend(state.hash, now);
         Some(chosen)
     }
 
@@ -631,11 +743,14 @@
         now: ClockTime,
     ) -> Vec<TrialOffer> {
         let endangered = self.endangered_services(now);
+        let limits = &self.limits;
         let is_due = |state: &&mut InstanceState| {
             state.listing.data_centre == data_centre
                 && state.accepts_requests(now)
                 && state.trial_round.is_due(now)
                 && (state.is_new() || state.is_suspected(now))
+                // Its permits serve as trials.
+                && limits.limit(state.departure_notice()).is_none()
         };
         let mut due: Vec<_> = self.instances.values_mut().filter(is_due).collect();
         // In the order of the table, the first instances would take all offers of a busy hub.
@@ -853,6 +968,7 @@
             .filter(|(_, state)| {
                 state.is_past_backoff(now) && !state.is_on_hold(now) && !state.is_suspected(now)
             })
+            .filter(|(_, state)| self.is_permitted(state, now))
             .map(|(_, state)| state.queue_per_slot())
             .reduce(f64::min)
     }
--- a/crates/policy/src/limit_ledger.rs
+++ b/crates/policy/src/limit_ledger.rs
@@ -34,6 +34,17 @@
         self.known(start)?.0.per_s
     }
 
+    /// Starts of instances that take a limited number of requests, with that number a second.
+    pub(crate) fn limits(&self) -> impl Iterator<Item = (DepartureNotice, f64)> {
+        self.statements.values().filter_map(|(statement, _)| {
+            let start = DepartureNotice {
+                instance: statement.instance,
+                started_at_unix_ms: statement.started_at_unix_ms,
+            };
+            Some((start, statement.per_s?))
+        })
+    }
+
     /// Records what `start` of an instance said in the response to a request of this host that was
     /// sent at `sent_at`; returns whether the limit has changed.
     pub(crate) fn record(
--- a/crates/tool/src/explain_request.rs
+++ b/crates/tool/src/explain_request.rs
@@ -41,7 +41,7 @@
 const SIGNAL_MESSAGES: [&str; 2] = ["instance says that it leaves", "instance wants no requests"];
 
 /// Outcomes of requests that no instance took because of what instances said.
-const UNSERVABLE_OUTCOMES: [&str; 2] = ["no_instance", "instances_on_hold"];
+const UNSERVABLE_OUTCOMES: [&str; 3] = ["no_instance", "instances_on_hold", "instances_limited"];
 
 /// Fields that are not printed as `name=value`.
 ///
