--- a/crates/soak/src/call_history.rs
+++ b/crates/soak/src/call_history.rs
@@ -3,6 +3,7 @@
 //! The promises are checked on these records alone. All times are in
 //! milliseconds since the start of the fleet.
 
+use std::collections::HashMap;
 use std::ops::Range;
 
 use crocushoist_platform_standin::ArrivalResult;
@@ -113,6 +114,19 @@
     pub span_ms: Range<u64>,
 }
 
+/// Limit that an instance named for a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitRecord {
+    /// Index of the instance.
+    pub instance: usize,
+    /// Requests a second from all hosts together.
+    pub per_s: f64,
+    /// When the instance named it, in milliseconds.
+    pub span_ms: Range<u64>,
+    /// Hosts that it told, each with the first time in milliseconds.
+    pub told_ms: HashMap<usize, u64>,
+}
+
 /// Time during which hosts had no path to any instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PathCutRecord {
@@ -138,6 +152,8 @@
     /// Times at which the link of an instance, by index, forwarded nothing in one direction at
     /// least, in milliseconds.
     pub instance_silences: Vec<(usize, Range<u64>)>,
+    /// Limits that instances named.
+    pub limits: Vec<LimitRecord>,
     /// Hosts without a path to instances.
     pub path_cuts: Vec<PathCutRecord>,
     /// Instances that started anew, by index, and when, in milliseconds.
--- a/crates/soak/src/drill_faults.rs
+++ b/crates/soak/src/drill_faults.rs
@@ -124,7 +124,7 @@
 }
 
 /// Draws up to a quarter of `count` instances, or all of them.
-fn draw_instances(rng: &mut ChaCha8Rng, count: usize) -> Vec<usize> {
+pub(crate) fn draw_instances(rng: &mut ChaCha8Rng, count: usize) -> Vec<usize> {
     if rng.random_range(0..ALL_INTERVAL) == 0 {
         return (0..count).collect();
     }
--- a/crates/soak/src/lasting_callers.rs
+++ b/crates/soak/src/lasting_callers.rs
@@ -120,7 +120,7 @@
 pub(crate) async fn run_lasting_caller(fleet: Rc<SoakFleet>, seed: u64, caller_index: usize) {
     let caller_seed = seed ^ (caller_index as u64 + 1).wrapping_mul(0x9e37_79b9);
     let workspaces = match fleet.mode {
-        SoakMode::Single | SoakMode::Series => WORKSPACES,
+        SoakMode::Single | SoakMode::Series | SoakMode::Needs => WORKSPACES,
         SoakMode::Drill | SoakMode::Paths => DRILL_WORKSPACES,
     };
     let mut caller = LastingCaller {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -50,7 +50,7 @@
     },
     /// Runs the seeds listed in a file.
     File {
-        /// Seed file: one seed per line, after `series`, `drill` or `paths` for that mode, optionally
+        /// Seed file: one seed per line, after the name of its mode if it has one, optionally
         /// followed by a remark; # starts a comment line.
         path: PathBuf,
         #[command(flatten)]
@@ -79,6 +79,9 @@
     /// send bytes without end.
     #[arg(long, conflicts_with_all = ["series", "drill"])]
     paths: bool,
+    /// As --series, with instances that name limits and hosts that lose their path to instances.
+    #[arg(long, conflicts_with_all = ["series", "drill", "paths"])]
+    needs: bool,
     /// Number of host processes.
     #[arg(long, default_value_t = 6)]
     hosts: usize,
@@ -128,7 +131,9 @@
 impl RunOptions {
     /// Mode of the seeds that are not read from a file.
     fn mode(&self) -> SoakMode {
-        if self.paths {
+        if self.needs {
+            SoakMode::Needs
+        } else if self.paths {
             SoakMode::Paths
         } else if self.drill {
             SoakMode::Drill
@@ -143,7 +148,7 @@
     fn size(&self, mode: SoakMode) -> SoakSize {
         let (instances, callers) = match mode {
             SoakMode::Single => (INSTANCES, CALLERS),
-            SoakMode::Series | SoakMode::Drill | SoakMode::Paths => {
+            SoakMode::Series | SoakMode::Drill | SoakMode::Paths | SoakMode::Needs => {
                 (SERIES_INSTANCES, SERIES_CALLERS)
             }
         };
@@ -176,10 +181,11 @@
             SoakMode::Series => "series ",
             SoakMode::Drill => "drill ",
             SoakMode::Paths => "paths ",
+            SoakMode::Needs => "needs ",
         };
         let (departures, holds) = report.notice_counts;
         let notices = match mode {
-            SoakMode::Single | SoakMode::Series => String::new(),
+            SoakMode::Single | SoakMode::Series | SoakMode::Needs => String::new(),
             SoakMode::Drill | SoakMode::Paths => {
                 format!(", {departures} departures passed on, {holds} holds")
             }
@@ -225,6 +231,7 @@
                 Some(("series", rest)) => (SoakMode::Series, rest),
                 Some(("drill", rest)) => (SoakMode::Drill, rest),
                 Some(("paths", rest)) => (SoakMode::Paths, rest),
+                Some(("needs", rest)) => (SoakMode::Needs, rest),
                 _ => (SoakMode::Single, line),
             };
             let seed = rest.split_whitespace().next().unwrap_or_default();
--- a/crates/soak/src/notice_check.rs
+++ b/crates/soak/src/notice_check.rs
@@ -166,7 +166,7 @@
 }
 
 /// Whether a host was killed, paused or restarted within `since_ms`.
-fn is_host_excused(history: &CallHistory, host: usize, since_ms: &Range<u64>) -> bool {
+pub(crate) fn is_host_excused(history: &CallHistory, host: usize, since_ms: &Range<u64>) -> bool {
     history.outages.iter().any(|outage| {
         // A stopping host knows what it knew until its process ends.
         let outage_start_ms = if outage.is_planned {
--- a/crates/soak/src/path_check.rs
+++ b/crates/soak/src/path_check.rs
@@ -78,6 +78,6 @@
         && !starts.any(|(_, started_ms)| span_ms.contains(started_ms))
 }
 
-fn overlap(left: &Range<u64>, right: &Range<u64>) -> bool {
+pub(crate) fn overlap(left: &Range<u64>, right: &Range<u64>) -> bool {
     left.start <= right.end && right.start <= left.end
 }
--- a/crates/soak/src/promise_check.rs
+++ b/crates/soak/src/promise_check.rs
@@ -13,6 +13,7 @@
 use crate::CallHistory;
 use crate::CallOutcome;
 use crate::CallRecord;
+use crate::need_check::check_limits;
 use crate::notice_check::check_departures;
 use crate::notice_check::check_holds;
 use crate::path_check::check_path_cuts;
@@ -96,6 +97,8 @@
     SentToLeaving(String, usize, usize, u64, String),
     /// host {0} sent {2} requests to instance {1}, which said at {3} ms that it wants none; {4}
     SentToHolding(usize, usize, usize, u64, String),
+    /// instance {0} got {1} requests in a window from {2} ms on, {3} allowed by the limit that it named
+    InstanceLimitExceeded(usize, usize, u64, usize),
     /// host {1} applied version {2} to {0} after version {3} was in force there
     VersionWentBack(String, usize, u64, u64),
     /// {0} of {1} calls that each configuration allows were denied, {2} allowed
@@ -155,6 +158,7 @@
     broken.extend(check_readiness(history));
     broken.extend(check_departures(history, &calls));
     broken.extend(check_holds(history));
+    broken.extend(check_limits(history));
     broken.extend(check_versions(history, &calls));
     broken.extend(check_denials(history));
     broken.extend(check_path_cuts(history));
@@ -271,7 +275,7 @@
 }
 
 /// Sorts `times_ms` and returns the count and start of the sliding window that holds most of them.
-fn find_fullest_window(times_ms: &mut [u64], window_ms: u64) -> Option<(usize, u64)> {
+pub(crate) fn find_fullest_window(times_ms: &mut [u64], window_ms: u64) -> Option<(usize, u64)> {
     times_ms.sort_unstable();
     let counts = times_ms.iter().enumerate().map(|(index, from_ms)| {
         let end = times_ms.partition_point(|time_ms| *time_ms < from_ms + window_ms);
--- a/crates/soak/src/soak_fleet.rs
+++ b/crates/soak/src/soak_fleet.rs
@@ -471,7 +471,7 @@
 fn route_timeout_ms(mode: SoakMode) -> u64 {
     match mode {
         SoakMode::Single => DEADLINE_MS,
-        SoakMode::Series | SoakMode::Drill | SoakMode::Paths => SERIES_TIMEOUT_MS,
+        SoakMode::Series | SoakMode::Drill | SoakMode::Paths | SoakMode::Needs => SERIES_TIMEOUT_MS,
     }
 }
 
--- a/crates/soak/src/soak_plan.rs
+++ b/crates/soak/src/soak_plan.rs
@@ -39,6 +39,15 @@
 /// Random stream of the faults that only the paths mode has.
 const PATHS_STREAM: u64 = 3;
 
+/// Random stream of the faults that only the needs mode has.
+const NEEDS_STREAM: u64 = 4;
+
+/// Bounds of the number of faults that only the needs mode has.
+const NEEDS_FAULTS: std::ops::RangeInclusive<usize> = 2..=4;
+
+/// Bounds of the milliseconds for which instances are in need.
+const NEED_MS: std::ops::Range<u64> = 4_000..14_000;
+
 /// Bounds of the number of cuts in the paths mode.
 const PATH_CUTS: std::ops::RangeInclusive<usize> = 1..=3;
 
@@ -82,6 +91,8 @@
     /// The drill mode, with hosts that lose their path to all instances and instances that send
     /// bytes without end.
     Paths,
+    /// The series mode, with instances that name limits and hosts that lose their path to them.
+    Needs,
 }
 
 impl SoakMode {
@@ -167,6 +178,8 @@
     HostsCut(u32, u8),
     /// Instances drawn from this seed send bytes without end, at the part with this number.
     InstancesEndless(u32, u8),
+    /// Instances drawn from this seed name limits.
+    InstancesLimited(u32),
 }
 
 /// Fault with the time at which it happens.
@@ -288,6 +301,33 @@
         SoakPlan { faults }
     }
 
+    /// Draws the plan of the needs mode for `seed` in a fleet of this size: that of the series mode
+    /// or no other faults, and limits and perhaps a cut beside it.
+    pub fn draw_needs(seed: u64, size: SoakSize) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(NEEDS_STREAM);
+        let mut faults = match rng.random_range(0..3) {
+            0 => Vec::new(),
+            _ => Self::draw_series(seed, size).faults,
+        };
+        for _ in 0..rng.random_range(NEEDS_FAULTS) {
+            faults.push(PlannedFault {
+                start_ms: rng.random_range(MIN_START_MS..MAX_START_MS),
+                duration_ms: rng.random_range(NEED_MS),
+                kind: FaultKind::InstancesLimited(rng.random()),
+            });
+        }
+        if rng.random_bool(0.3) {
+            faults.push(PlannedFault {
+                start_ms: rng.random_range(MIN_START_MS..MAX_START_MS),
+                duration_ms: rng.random_range(CUT_MS),
+                kind: FaultKind::HostsCut(rng.random(), rng.random()),
+            });
+        }
+        faults.sort_by_key(|fault| fault.start_ms);
+        SoakPlan { faults }
+    }
+
     /// End of the last fault, in milliseconds after the start of the load.
     pub fn end_ms(&self) -> u64 {
         let ends = self.faults.iter();
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -27,6 +27,7 @@
 use crate::drill_faults::leave_instances;
 use crate::drill_faults::restore_store;
 use crate::lasting_callers::run_lasting_caller;
+use crate::need_faults::limit_instances;
 use crate::path_faults::cut_hosts;
 use crate::path_faults::send_without_end;
 use crate::promise_check::LIMITED_WORKSPACE;
@@ -87,6 +88,7 @@
         SoakMode::Series => SoakPlan::draw_series(seed, size),
         SoakMode::Drill => SoakPlan::draw_drill(seed, size),
         SoakMode::Paths => SoakPlan::draw_paths(seed, size),
+        SoakMode::Needs => SoakPlan::draw_needs(seed, size),
     };
     let fleet = SoakFleet::start(net, mode, size).await?;
     compio::runtime::spawn(Rc::clone(&fleet).watch_hosts()).detach();
@@ -97,7 +99,7 @@
         let fleet = Rc::clone(&fleet);
         match mode {
             SoakMode::Single => compio::runtime::spawn(run_caller(fleet, seed, caller_index)),
-            SoakMode::Series | SoakMode::Drill | SoakMode::Paths => {
+            SoakMode::Series | SoakMode::Drill | SoakMode::Paths | SoakMode::Needs => {
                 compio::runtime::spawn(run_lasting_caller(fleet, seed, caller_index))
             }
         }
@@ -142,6 +144,7 @@
             SoakMode::Series => format!("series-{seed}"),
             SoakMode::Drill => format!("drill-{seed}"),
             SoakMode::Paths => format!("paths-{seed}"),
+            SoakMode::Needs => format!("needs-{seed}"),
         };
         fleet.copy_host_files(&logs.join(name))?;
     }
@@ -271,6 +274,7 @@
         FaultKind::StoreRestored(away_ms, age_ms) => {
             restore_store(&fleet, away_ms, age_ms).await;
         }
+        FaultKind::InstancesLimited(seed) => limit_instances(&fleet, seed, end_ms).await,
         FaultKind::HostsCut(seed, choice) => cut_hosts(&fleet, seed, choice, end_ms).await?,
         FaultKind::InstancesEndless(seed, choice) => {
             send_without_end(&fleet, seed, choice, end_ms).await;
