--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -8,6 +8,8 @@
 //! since the last message.
 //!
 //! The encoding is positional: the order of variants and fields is the format.
+//! Hosts of two builds run side by side in an upgrade, so what is new goes into the
+//! notes after the message, see [`crate::peer_notes`].
 //! Some fields have names of their own: `uses` holds the requests of workspaces,
 //! `rows` the instance entries, `beliefs` the estimates of instances, `fleet` the
 //! advertised hosts and `heard_hubs` the reachable hubs.
