Take a request that succeeded lately for sound

What callers saw: while instances crashed under one request, a popular sound request was refused by all hosts for the rest of the test, 502 `crashes_instances`.

Cause: a success counted only at a host that knew of the suspicion already. Hosts learn of each other's crashes some time after them; the crashes of a request that is always in flight add up to three in one message, and from then on nobody sends it, so it never succeeds again. Class: evidence for a request is dropped because it came before the evidence against it.

Change: a host remembers which requests it served in the last 10 to 20 s (two bounded sets of hashes). Such a request isn't suspected there, and if another host tells a suspicion, the host begins its next round and tells that. A deadly request never succeeds, so nothing changes for it. One that turns deadly is suspected 10 to 20 s later than before.

--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -370,12 +370,11 @@
         suspects.crash_count(self.request_hash(), ClockTime::now())
     }
 
-    /// Ends the suspicion that instances crash under this request, which succeeded.
+    /// Ends the suspicion that instances crash under this request, which succeeded, and keeps new
+    /// ones from it for some seconds.
     fn end_suspicion(&self) {
         let mut suspects = self.context.suspects.borrow_mut();
-        if !suspects.is_empty() {
-            suspects.record_success(self.request_hash(), ClockTime::now());
-        }
+        suspects.record_success(self.request_hash(), ClockTime::now());
     }
 
     /// Counts an attempt that has ended and adds it to the log record.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 mod permit_pool;
 mod presence;
 mod presence_evidence;
+mod recent_successes;
 mod relay_choice;
 mod relayed_listing;
 mod reported_counters;
--- a/crates/policy/src/suspect_ledger.rs
+++ b/crates/policy/src/suspect_ledger.rs
@@ -6,6 +6,11 @@
 //! in flight at one crash after the other and never succeeds. Once it has
 //! crashed [`MAX_CRASHES`] starts of instances, no host sends it any more.
 //!
+//! A popular request may be in flight at several crashes before any host that
+//! knows of them has served it again. So a host that served it in the last
+//! seconds takes it for sound, whichever host saw the crashes, and tells the
+//! others.
+//!
 //! The ledger has entries for requests that were in flight at a crash only, so
 //! its size does not depend on how many callers there are.
 
@@ -15,6 +20,7 @@
 
 use crate::CrashSuspicion;
 use crate::DepartureNotice;
+use crate::recent_successes::RecentSuccesses;
 
 /// Number of crashes from which a request is not sent any more.
 pub const MAX_CRASHES: usize = 3;
@@ -46,10 +52,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct SuspectLedger {
     entries: HashMap<u64, SuspectEntry>,
+    successes: RecentSuccesses,
 }
 
 impl SuspectLedger {
-    /// Whether no request is suspected.
+    /// Whether no request is or was suspected.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
@@ -71,6 +78,10 @@
     /// Records that `request` was in flight at an instance that crashed; returns whether it is not
     /// sent any more from now on.
     pub fn record_crash(&mut self, request: u64, crashed: DepartureNotice, now: ClockTime) -> bool {
+        if self.successes.contains(request, now) {
+            self.end_suspicion(request, now);
+            return false;
+        }
         self.forget_old(now);
         let entry = self.entries.entry(request).or_default();
         let was_refused = entry.is_refused();
@@ -80,6 +91,12 @@
 
     /// Records that `request` succeeded, which ends the suspicion; returns whether there was one.
     pub fn record_success(&mut self, request: u64, now: ClockTime) -> bool {
+        self.successes.add(request, now);
+        self.end_suspicion(request, now)
+    }
+
+    /// Begins the next round of `request` if it is suspected; returns whether it was.
+    fn end_suspicion(&mut self, request: u64, now: ClockTime) -> bool {
         let entry = self.entries.get_mut(&request);
         let Some(entry) = entry.filter(|entry| !entry.crashed.is_empty()) else {
             return false;
@@ -120,7 +137,12 @@
         for crashed in &told.crashed {
             entry.add(*crashed, changed_at);
         }
-        !was_refused && entry.is_refused() && entry.is_remembered(now)
+        let is_refused = entry.is_refused() && entry.is_remembered(now);
+        if self.successes.contains(told.request, now) {
+            self.end_suspicion(told.request, now);
+            return false;
+        }
+        !was_refused && is_refused
     }
 
     /// Suspicions for one message to another host; `draw` is a random number from 0 to 1.
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -80,6 +80,59 @@
     assert!(!second.record_crash(POPULAR, start(9), START));
 }
 
+/// Guards against a popular sound request that all hosts refuse because it was in flight at crashes
+/// that different hosts saw, before any of them served it again (issue 32, BUDGET).
+#[parameterized(
+    before_the_crashes = { 0, 400, 0 },
+    after_the_crashes = { 700, 400, 0 },
+    long_before_the_crashes = { 0, 30_000, 3 },
+)]
+fn request_that_succeeded_lately_is_not_refused(success: u64, crashes: u64, expected: usize) {
+    let mut hosts = vec![SuspectLedger::default(); 4];
+    let success_at = START.plus(success);
+    let crashed_at = START.plus(crashes);
+    if success < crashes {
+        hosts[3].record_success(POPULAR, success_at);
+    }
+    for (number, host) in hosts.iter_mut().take(3).enumerate() {
+        host.record_crash(POPULAR, start(number as u32), crashed_at);
+    }
+    if success >= crashes {
+        hosts[3].record_success(POPULAR, success_at);
+    }
+    let mut now = success_at.max(crashed_at);
+    for _ in 0..4 {
+        now = now.plus(60);
+        for from in 0..hosts.len() {
+            let told = hosts[from].clone();
+            for host in &mut hosts {
+                tell(&told, host, now);
+            }
+        }
+    }
+    for host in &hosts {
+        assert_eq!(host.crash_count(POPULAR, now), expected);
+    }
+}
+
+/// Guards against a memory of successes that grows with the number of requests.
+#[test]
+fn many_successes_leave_a_deadly_request_refused() {
+    let mut ledger = SuspectLedger::default();
+    for request in 100..100_000 {
+        ledger.record_success(request, START.plus(request / 10));
+    }
+    let now = START.plus(10_000);
+    for number in 0..3 {
+        ledger.record_crash(DEADLY, start(number), now);
+        ledger.record_crash(100, start(number), now);
+        ledger.record_crash(99_999, start(number), now);
+    }
+    assert_eq!(ledger.crash_count(DEADLY, now), MAX_CRASHES);
+    assert_eq!(ledger.crash_count(100, now), MAX_CRASHES);
+    assert_eq!(ledger.crash_count(99_999, now), 0);
+}
+
 #[parameterized(
     refused_for_minutes = { 3, 299_000, 3 },
     refused_no_longer = { 3, 301_000, 0 },
