Blame no request for a crash that came before it

What callers saw: sound requests that were sent to an instance just after it had crashed were counted as in flight at the crash; and of a deadly request, a crash was left out where the two instances asked as witnesses had crashed as well, so it was sent once more.

Cause: a crash was recorded when it was found, 130 ms after the connection broke off, without regard to when the request was sent, and witnesses were drawn from all instances.

Change: the ledger keeps the starts that crashed with the earliest time, told ones too. A request sent later is not counted. Instances not known to have crashed are asked first, three instead of two. A crash has the time at which the connection broke off.

--- a/crates/edge/src/crash_observer.rs
+++ b/crates/edge/src/crash_observer.rs
@@ -2,7 +2,8 @@
 //!
 //! A faulty instance resets connections and lives on, and a host that is cut off
 //! sees all connections break. So an instance counts as crashed only if it takes
-//! no new connection while another one of its service does.
+//! no new connection while another one of its service does. A request that was
+//! sent to it after the crash has nothing to do with it.
 
 use std::rc::Rc;
 
@@ -21,8 +22,8 @@
 /// Milliseconds in which a living instance takes a connection.
 const CONNECT_TIMEOUT_MS: u64 = 100;
 
-/// Number of other instances that are tried.
-const MAX_WITNESSES: usize = 2;
+/// Number of other instances that are tried, those first that are not known to have crashed.
+const MAX_WITNESSES: usize = 3;
 
 /// Milliseconds for which the connection of a probe is kept.
 const KEEP_CONNECTION_MS: u64 = 1_000;
@@ -48,29 +49,30 @@
     u64::from_le_bytes(first)
 }
 
-/// Records a crash of the instance `key` for the request with the hash `request`, whose connection
-/// broke off, if the instance is gone.
-pub(crate) async fn observe_crash(context: SharedContext, key: InstanceKey, request: u64) {
+/// Records a crash of the instance `key` for the request with the hash `request`, which was sent at
+/// `sent_at` and whose connection broke off, if the instance is gone.
+pub(crate) async fn observe_crash(
+    context: SharedContext,
+    key: InstanceKey,
+    request: u64,
+    sent_at: ClockTime,
+) {
+    let broken_at = ClockTime::now();
+    let start = context.instances.borrow().get(key).departure_notice();
+    if context.suspects.borrow().had_crashed(start, sent_at) {
+        return;
+    }
     if takes_connection(&context, key).await || !has_witness(&context, key).await {
         return;
     }
-    let now = ClockTime::now();
-    let (start, id, service) = {
-        let table = context.instances.borrow();
-        let state = table.get(key);
-        let listing = &state.listing;
-        (
-            state.departure_notice(),
-            listing.id.clone(),
-            listing.service.clone(),
-        )
-    };
+    let table = context.instances.borrow();
+    let listing = &table.get(key).listing;
     let mut ledger = context.suspects.borrow_mut();
-    let is_refused = ledger.record_crash(request, start, now);
+    let is_refused = ledger.record_crash(request, start, broken_at);
     context.metrics.count_signal("crash");
-    warn!(context.logger, "instance crashed"; "instance" => id.as_str(),
-        "service" => service.as_str(), "request_hash" => format!("{request:016x}"),
-        "crashes" => ledger.crash_count(request, now), "refused" => is_refused);
+    warn!(context.logger, "instance crashed"; "instance" => listing.id.as_str(),
+        "service" => listing.service.as_str(), "request_hash" => format!("{request:016x}"),
+        "crashes" => ledger.crash_count(request, broken_at), "refused" => is_refused);
 }
 
 /// Whether another instance of the service takes a connection, or there is none to ask.
@@ -84,6 +86,9 @@
             .collect();
         let count = others.len();
         others.rotate_left(rand::random_range(0..count.max(1)).min(count));
+        let suspects = context.suspects.borrow();
+        let now = ClockTime::now();
+        others.sort_by_key(|other| suspects.had_crashed(table.get(*other).departure_notice(), now));
         others.truncate(MAX_WITNESSES);
         others
     };
@@ -114,7 +119,12 @@
 }
 
 /// Has the crash of the instance `key` observed while the request goes on.
-pub(crate) fn spawn_observer(context: &SharedContext, key: InstanceKey, request: u64) {
+pub(crate) fn spawn_observer(
+    context: &SharedContext,
+    key: InstanceKey,
+    request: u64,
+    sent_at: ClockTime,
+) {
     let context = Rc::clone(context);
-    compio::runtime::spawn(observe_crash(context, key, request)).detach();
+    compio::runtime::spawn(observe_crash(context, key, request, sent_at)).detach();
 }
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -341,12 +341,15 @@
         };
         if result.is_broken_off() {
             let request = self.request_hash();
+            let sent_at = ClockTime::now().minus(guard.elapsed_ms());
             match self.retry_safety {
                 // Whether the request may be sent again depends on what is found.
                 RetrySafety::Idempotent => {
-                    observe_crash(Rc::clone(self.context), guard.key(), request).await;
+                    observe_crash(Rc::clone(self.context), guard.key(), request, sent_at).await;
+                }
+                RetrySafety::AtMostOnce => {
+                    spawn_observer(self.context, guard.key(), request, sent_at);
                 }
-                RetrySafety::AtMostOnce => spawn_observer(self.context, guard.key(), request),
             }
         }
         EndedAttempt {
--- a/crates/policy/src/suspect_ledger.rs
+++ b/crates/policy/src/suspect_ledger.rs
@@ -12,7 +12,9 @@
 //! others.
 //!
 //! The ledger has entries for requests that were in flight at a crash only, so
-//! its size does not depend on how many callers there are.
+//! its size does not depend on how many callers there are. It also knows which
+//! starts of instances crashed when, so that a request that was sent to one of
+//! them afterwards isn't blamed.
 
 use std::collections::HashMap;
 
@@ -37,6 +39,9 @@
 /// the earliest, is then forgotten.
 const MAX_SUSPECTS: usize = 1_024;
 
+/// Maximum number of crashes that are remembered with their times.
+const MAX_CRASH_TIMES: usize = 1_024;
+
 /// Maximum number of requests in one message; a longer list is told in parts drawn at random.
 const MAX_TOLD: usize = 16;
 
@@ -53,6 +58,8 @@
 pub struct SuspectLedger {
     entries: HashMap<u64, SuspectEntry>,
     successes: RecentSuccesses,
+    /// Starts of instances that crashed, each with the earliest time at which this is known.
+    crash_times: HashMap<DepartureNotice, ClockTime>,
 }
 
 impl SuspectLedger {
@@ -68,6 +75,12 @@
         entry.map_or(0, |entry| entry.crashed.len())
     }
 
+    /// Whether the start `crashed` of an instance is known to have crashed before `at`.
+    pub fn had_crashed(&self, crashed: DepartureNotice, at: ClockTime) -> bool {
+        let crash_time = self.crash_times.get(&crashed);
+        crash_time.is_some_and(|crash_time| *crash_time < at)
+    }
+
     /// Number of requests that are not sent any more.
     pub fn refused_count(&self, now: ClockTime) -> usize {
         let entries = self.entries.values();
@@ -78,6 +91,7 @@
     /// Records that `request` was in flight at an instance that crashed; returns whether it is not
     /// sent any more from now on.
     pub fn record_crash(&mut self, request: u64, crashed: DepartureNotice, now: ClockTime) -> bool {
+        self.add_crash_time(crashed, now);
         if self.successes.contains(request, now) {
             self.end_suspicion(request, now);
             return false;
@@ -122,6 +136,9 @@
             return false;
         }
         self.forget_old(now);
+        for crashed in told.crashed.iter().take(MAX_CRASHES) {
+            self.add_crash_time(*crashed, changed_at);
+        }
         let entry = self.entries.entry(told.request).or_insert(told_entry);
         if told.round < entry.round {
             return false;
@@ -167,6 +184,17 @@
         told
     }
 
+    fn add_crash_time(&mut self, crashed: DepartureNotice, at: ClockTime) {
+        if self.crash_times.len() >= MAX_CRASH_TIMES {
+            let times = self.crash_times.iter();
+            let earliest = times.min_by_key(|(_, crash_time)| **crash_time);
+            let earliest = earliest.map(|(start, _)| *start);
+            self.crash_times.retain(|start, _| Some(*start) != earliest);
+        }
+        let crash_time = self.crash_times.entry(crashed).or_insert(at);
+        *crash_time = at.min(*crash_time);
+    }
+
     fn forget_old(&mut self, now: ClockTime) {
         self.entries.retain(|_, entry| entry.is_remembered(now));
         if self.entries.len() >= MAX_SUSPECTS {
--- a/crates/policy/tests/crash_suspects.rs
+++ b/crates/policy/tests/crash_suspects.rs
@@ -115,6 +115,35 @@
     }
 }
 
+/// Guards against requests that are blamed for a crash after which they were sent (issue 32, BUDGET).
+#[test]
+fn hosts_know_which_start_had_crashed() {
+    let mut first = SuspectLedger::default();
+    let mut second = SuspectLedger::default();
+    first.record_success(POPULAR, START);
+    first.record_crash(POPULAR, start(1), START.plus(100));
+    first.record_crash(DEADLY, start(1), START.plus(110));
+    tell(&first, &mut second, START.plus(200));
+    for ledger in [&first, &second] {
+        assert!(ledger.had_crashed(start(1), START.plus(111)));
+        assert!(!ledger.had_crashed(start(1), START.plus(100)));
+        assert!(!ledger.had_crashed(start(2), START.plus(200)));
+    }
+}
+
+/// Guards against memory that grows with the number of crashes.
+#[test]
+fn many_crashes_leave_the_latest_ones_known() {
+    let mut ledger = SuspectLedger::default();
+    for number in 0..5_000 {
+        ledger.record_crash(DEADLY, start(number), START.plus(number.into()));
+    }
+    let now = START.plus(10_000);
+    let known = (0..5_000).filter(|number| ledger.had_crashed(start(*number), now));
+    assert!(known.count() <= 1_024);
+    assert!(ledger.had_crashed(start(4_999), now));
+}
+
 /// Guards against a memory of successes that grows with the number of requests.
 #[test]
 fn many_successes_leave_a_deadly_request_refused() {
