Have hubs tell each other which configuration is in force

Cause: hubs of different data centres, and two hubs in one, told each other nothing of the configuration; only a host's report to its hub and the answer have the version. The store turned hub lagos-a-1 away from 16.60 s on. Three of its reporters read version 40 at 17.42 s, but passed over the hub as behind 43 ms later, before their next report, so the hub and its other reporters kept version 31 until they read the store by themselves, at 18.62 s and later; the store turned four of them away too. Class: what one member finds out for a group is lost when it leaves the group, and no other path leads there.

Ruled out: a fetch that failed (no `not fetched` line), and the pace of readers alone (hosts that read the version did not help the others).

Change: a summary has a section of notes with the version in force and the age of its evidence. A host that has an older version fetches it from the sender; one with the same version and evidence older than a lost read fetches evidence. The age in a one-way message can't be used by itself, because the message may be late.

--- a/crates/edge/src/config_reader.rs
+++ b/crates/edge/src/config_reader.rs
@@ -52,7 +52,7 @@
 
 /// Age of the evidence in milliseconds above which hosts read the store themselves: one long poll
 /// plus one lost read.
-const MAX_EVIDENCE_AGE_MS: u64 = LONG_POLL_MS + RESPONSE_MARGIN_MS;
+pub(crate) const MAX_EVIDENCE_AGE_MS: u64 = LONG_POLL_MS + RESPONSE_MARGIN_MS;
 
 /// Milliseconds after which a newer version that could not be fetched from a host is read from the
 /// store.
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -161,6 +161,11 @@
     }
 }
 
+/// Whether knowledge with the age `told` is so much more recent than own one that it is fetched.
+pub(crate) fn is_fresher(told: Option<u64>, own: Option<u64>) -> bool {
+    told.is_some_and(|age| own.is_none_or(|own| age.saturating_add(MIN_FRESHER_MS) < own))
+}
+
 /// Remembers a reporter that knows the configuration or the instance list better than this host,
 /// as when the store turns this host away.
 fn find_fresher_reporter(
@@ -169,9 +174,6 @@
     report: &HostReport,
     now: ClockTime,
 ) {
-    let is_fresher = |reported: Option<u64>, own: Option<u64>| {
-        reported.is_some_and(|age| own.is_none_or(|own| age + MIN_FRESHER_MS < own))
-    };
     context.record_peer_version(peer_address, report.config_version, now);
     let has_same_version = report.config_version == context.config_version();
     let own_evidence_age = context.evidence.borrow().age(now);
--- a/crates/edge/src/notes_exchange.rs
+++ b/crates/edge/src/notes_exchange.rs
@@ -17,7 +17,10 @@
 use crocushoist_policy::name_hash;
 use crocushoist_state::ClockTime;
 
+use crate::config_reader::MAX_EVIDENCE_AGE_MS;
 use crate::edge_context::EdgeContext;
+use crate::hub_exchange::is_fresher;
+use crate::peer_notes::ConfigKnowledge;
 use crate::peer_notes::PeerNotes;
 use crate::peer_notes::WireGrant;
 use crate::peer_notes::WireStatement;
@@ -31,7 +34,7 @@
     PeerNotes {
         lapsed: lapsed.iter().map(Into::into).collect(),
         wanted: wanted_permits(context, now),
-        ..summary_notes(context, now)
+        ..told_notes(context, now)
     }
 }
 
@@ -47,8 +50,21 @@
     wanted.collect()
 }
 
-/// Notes of a summary.
+/// Notes of a summary. Hubs of other data centres get the knowledge of the configuration by them
+/// too, so that one that the store turns away follows the others.
 pub(crate) fn summary_notes(context: &EdgeContext, now: ClockTime) -> PeerNotes {
+    let knowledge = ConfigKnowledge {
+        version: context.config_version(),
+        evidence_age: context.evidence.borrow().age(now),
+    };
+    PeerNotes {
+        knowledge: Some(knowledge),
+        ..told_notes(context, now)
+    }
+}
+
+/// What every message tells.
+fn told_notes(context: &EdgeContext, now: ClockTime) -> PeerNotes {
     let table = context.instances.borrow();
     let told = table.told_limits(rand::random(), now);
     let suspects = context.suspects.borrow().told(rand::random(), now);
@@ -61,7 +77,7 @@
 
 /// Notes of the answer to a report with the notes `asked`; only a hub issues permits.
 pub(crate) fn answer_notes(context: &EdgeContext, asked: &PeerNotes, now: ClockTime) -> PeerNotes {
-    let mut notes = summary_notes(context, now);
+    let mut notes = told_notes(context, now);
     if !context.is_hub.get() {
         return notes;
     }
@@ -92,6 +108,36 @@
     pool.apply_lapsed((peer, incarnation), &lapsed, now);
 }
 
+/// Applies the notes of a summary of the host at `peer`.
+pub(crate) fn apply_summary_notes(
+    context: &EdgeContext,
+    peer: SocketAddr,
+    notes: &PeerNotes,
+    now: ClockTime,
+) {
+    apply_told(context, peer, notes, now);
+    if let Some(knowledge) = notes.knowledge {
+        apply_knowledge(context, peer, knowledge, now);
+    }
+}
+
+/// Has the configuration fetched from the hub at `peer` if that one has a newer version, and the
+/// evidence if this host's own is old.
+fn apply_knowledge(
+    context: &EdgeContext,
+    peer: SocketAddr,
+    knowledge: ConfigKnowledge,
+    now: ClockTime,
+) {
+    context.record_peer_version(peer, knowledge.version, now);
+    let own_age = context.evidence.borrow().age(now);
+    let is_old = own_age.is_none_or(|age| age > MAX_EVIDENCE_AGE_MS);
+    let has_same_version = knowledge.version == context.config_version();
+    if has_same_version && is_old && is_fresher(knowledge.evidence_age, own_age) {
+        context.config_source.set(Some(peer));
+    }
+}
+
 /// Applies the notes of the answer with the number `number` to a report that was sent at
 /// `report_sent_at`. A datagram may arrive twice; its permits hold once.
 pub(crate) fn apply_answer_notes(
@@ -113,12 +159,7 @@
 }
 
 /// Applies what any message of the host at `peer` tells.
-pub(crate) fn apply_told(
-    context: &EdgeContext,
-    peer: SocketAddr,
-    notes: &PeerNotes,
-    now: ClockTime,
-) {
+fn apply_told(context: &EdgeContext, peer: SocketAddr, notes: &PeerNotes, now: ClockTime) {
     apply_statements(context, peer, &notes.limits, now);
     let mut suspects = context.suspects.borrow_mut();
     for suspicion in notes.suspects.iter().map(CrashSuspicion::from) {
--- a/crates/edge/src/peer_notes.rs
+++ b/crates/edge/src/peer_notes.rs
@@ -22,6 +22,7 @@
 const PERMITS_SECTION: u32 = 3;
 const WANTED_SECTION: u32 = 4;
 const SUSPECTS_SECTION: u32 = 5;
+const KNOWLEDGE_SECTION: u32 = 6;
 
 /// What a datagram has beyond the message.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -36,6 +37,16 @@
     pub(crate) wanted: Vec<WireGrant>,
     /// In an answer: permits for requests to instances with limits.
     pub(crate) permits: Vec<WireGrant>,
+    /// In a summary: what the sender knows of the configuration.
+    pub(crate) knowledge: Option<ConfigKnowledge>,
+}
+
+/// What a host knows of the configuration: the version in force, and how many milliseconds ago the
+/// store had no newer one.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ConfigKnowledge {
+    pub(crate) version: u64,
+    pub(crate) evidence_age: Option<u64>,
 }
 
 /// Statement of an instance about the requests that it takes.
@@ -74,6 +85,7 @@
         add_section(&mut sections, PERMITS_SECTION, &self.permits)?;
         add_section(&mut sections, WANTED_SECTION, &self.wanted)?;
         add_section(&mut sections, SUSPECTS_SECTION, &self.suspects)?;
+        add_section(&mut sections, KNOWLEDGE_SECTION, self.knowledge.as_slice())?;
         if !sections.is_empty() {
             bytes.extend(postcard::to_allocvec(&sections)?);
         }
@@ -102,6 +114,7 @@
                 PERMITS_SECTION => read_section(&content, &mut notes.permits),
                 WANTED_SECTION => read_section(&content, &mut notes.wanted),
                 SUSPECTS_SECTION => read_section(&content, &mut notes.suspects),
+                KNOWLEDGE_SECTION => read_one(&content, &mut notes.knowledge),
                 // A later build wrote it.
                 _ => Ok(()),
             };
@@ -130,6 +143,16 @@
     Ok(())
 }
 
+fn read_one<'a, T: Deserialize<'a>>(
+    bytes: &'a [u8],
+    content: &mut Option<T>,
+) -> Result<(), postcard::Error> {
+    let mut items = Vec::new();
+    read_section(bytes, &mut items)?;
+    *content = items.pop();
+    Ok(())
+}
+
 impl From<&LimitStatement> for WireStatement {
     fn from(statement: &LimitStatement) -> Self {
         WireStatement(
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -37,7 +37,7 @@
 use crate::notes_exchange::answer_notes;
 use crate::notes_exchange::apply_answer_notes;
 use crate::notes_exchange::apply_report_notes;
-use crate::notes_exchange::apply_told;
+use crate::notes_exchange::apply_summary_notes;
 use crate::notes_exchange::report_notes;
 use crate::notes_exchange::summary_notes;
 use crate::peer_message::PeerMessage;
@@ -413,7 +413,7 @@
             PeerMessage::Summary(summary) => {
                 self.restart_selection(peer, summary.incarnation);
                 apply_summary(&self.context, peer, summary, now);
-                apply_told(&self.context, peer, notes, now);
+                apply_summary_notes(&self.context, peer, notes, now);
             }
         }
     }
