Draw parts of long lists with one piece of code

Three ledgers, departures, limits and suspicions, kept the part of a list for one message by the same five lines, and the hub's order of limited instances was drawn by two of them. One function keeps a drawn part, one rotates by the draw. The start of an instance that a limit names was put together from its two fields at three places; the statement has it now.

--- a/crates/policy/src/departure_ledger.rs
+++ b/crates/policy/src/departure_ledger.rs
@@ -8,6 +8,7 @@
 use crocushoist_state::ClockTime;
 
 use crate::DepartureNotice;
+use crate::drawn_part::keep_drawn_part;
 
 /// Maximum number of notices that are remembered; the earliest is then forgotten.
 const MAX_NOTICES: usize = 4_096;
@@ -61,12 +62,7 @@
             .filter(|(notice, at)| now.since(**at) <= TELL_MS || is_present(**notice))
             .map(|(notice, _)| *notice)
             .collect();
-        if notices.len() > MAX_TOLD {
-            let first = (draw * notices.len() as f64) as usize;
-            let first = first.min(notices.len() - 1);
-            notices.rotate_left(first);
-            notices.truncate(MAX_TOLD);
-        }
+        keep_drawn_part(&mut notices, MAX_TOLD, draw);
         notices
     }
 }
--- a/crates/policy/src/instance_table.rs
+++ b/crates/policy/src/instance_table.rs
@@ -44,6 +44,7 @@
 use crate::StoreOffset;
 use crate::TrialOffer;
 use crate::departure_ledger::DepartureLedger;
+use crate::drawn_part::rotate_by_draw;
 use crate::instance_index::InstanceIndex;
 use crate::instance_selector::InstanceCandidate;
 use crate::instance_selector::InstanceSelector;
@@ -547,10 +548,7 @@
         if !self.limits.apply(statement, now) {
             return None;
         }
-        self.find_start(DepartureNotice {
-            instance: statement.instance,
-            started_at_unix_ms: statement.started_at_unix_ms,
-        })
+        self.find_start(statement.start())
     }
 
     /// Statements about limits for one message to another host; `draw` is a random number from 0
@@ -619,9 +617,7 @@
                 limited.push((state, limit));
             }
         }
-        let first = (draw * limited.len() as f64) as usize;
-        let last = limited.len().saturating_sub(1);
-        limited.rotate_left(first.min(last));
+        rotate_by_draw(&mut limited, draw);
         let mut grants = Vec::new();
         let mut missing = wanted;
         for (state, limit) in limited {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod departure_ledger;
 mod departure_notice;
 mod deployment_config;
+mod drawn_part;
 mod era_watch;
 mod estimate_feed;
 mod fault_estimate;
--- a/crates/policy/src/limit_ledger.rs
+++ b/crates/policy/src/limit_ledger.rs
@@ -12,6 +12,7 @@
 
 use crate::DepartureNotice;
 use crate::LimitStatement;
+use crate::drawn_part::keep_drawn_part;
 
 /// Maximum number of instances whose statements are remembered; the earliest is then forgotten.
 const MAX_STATEMENTS: usize = 4_096;
@@ -37,11 +38,8 @@
     /// Starts of instances that take a limited number of requests, with that number a second.
     pub(crate) fn limits(&self) -> impl Iterator<Item = (DepartureNotice, f64)> {
         self.statements.values().filter_map(|(statement, _)| {
-            let start = DepartureNotice {
-                instance: statement.instance,
-                started_at_unix_ms: statement.started_at_unix_ms,
-            };
-            Some((start, statement.per_s?))
+            let per_s = statement.per_s?;
+            Some((statement.start(), per_s))
         })
     }
 
@@ -97,11 +95,8 @@
         now: ClockTime,
     ) -> Vec<LimitStatement> {
         let is_told = |statement: &LimitStatement, learnt_at: ClockTime| {
-            let start = DepartureNotice {
-                instance: statement.instance,
-                started_at_unix_ms: statement.started_at_unix_ms,
-            };
-            is_present(start) && (statement.per_s.is_some() || now.since(learnt_at) <= TELL_END_MS)
+            is_present(statement.start())
+                && (statement.per_s.is_some() || now.since(learnt_at) <= TELL_END_MS)
         };
         let mut told: Vec<LimitStatement> = self
             .statements
@@ -109,12 +104,7 @@
             .filter(|(statement, learnt_at)| is_told(statement, *learnt_at))
             .map(|(statement, _)| *statement)
             .collect();
-        if told.len() > MAX_TOLD {
-            let first = (draw * told.len() as f64) as usize;
-            let first = first.min(told.len() - 1);
-            told.rotate_left(first);
-            told.truncate(MAX_TOLD);
-        }
+        keep_drawn_part(&mut told, MAX_TOLD, draw);
         told
     }
 
--- a/crates/policy/src/limit_statement.rs
+++ b/crates/policy/src/limit_statement.rs
@@ -26,6 +26,14 @@
         }
     }
 
+    /// Start of the instance that said it.
+    pub(crate) fn start(&self) -> DepartureNotice {
+        DepartureNotice {
+            instance: self.instance,
+            started_at_unix_ms: self.started_at_unix_ms,
+        }
+    }
+
     /// Whether this statement holds rather than `other`. Of two with the same number, made by
     /// hosts that did not know of each other, the lower limit holds.
     pub(crate) fn supersedes(&self, other: &LimitStatement) -> bool {
--- a/crates/policy/src/suspect_ledger.rs
+++ b/crates/policy/src/suspect_ledger.rs
@@ -22,6 +22,7 @@
 
 use crate::CrashSuspicion;
 use crate::DepartureNotice;
+use crate::drawn_part::keep_drawn_part;
 use crate::recent_successes::RecentSuccesses;
 
 /// Number of crashes from which a request is not sent any more.
@@ -176,11 +177,8 @@
             .collect();
         if told.len() > MAX_TOLD {
             told.sort_unstable_by_key(|suspicion| suspicion.request);
-            let first = (draw * told.len() as f64) as usize;
-            let first = first.min(told.len() - 1);
-            told.rotate_left(first);
-            told.truncate(MAX_TOLD);
         }
+        keep_drawn_part(&mut told, MAX_TOLD, draw);
         told
     }
 
