Hash a request once

While any request is suspected, the hash over the whole body was computed before each attempt, at each decision about a retry or a hedge, and after a success; since successes are remembered, after each success at all times. It is kept now for the request that is being forwarded.

--- a/crates/edge/src/relay_handler.rs
+++ b/crates/edge/src/relay_handler.rs
@@ -3,6 +3,7 @@
 //! The other host has checked the request's key, limit and deadline. This one
 //! neither counts it for a workspace nor relays it further.
 
+use std::cell::OnceCell;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -145,6 +146,7 @@
         head,
         body: relayed.body.into(),
         may_relay: false,
+        content_hash: OnceCell::new(),
     };
     forwarder.forward(record).await
 }
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -8,6 +8,7 @@
 //!
 //! While this host has no path to the service, another host carries the request.
 
+use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -106,6 +107,8 @@
     pub(crate) body: Bytes,
     /// Whether another host may carry the request; false if it came from one.
     pub(crate) may_relay: bool,
+    /// Hash of what makes the request the same when it comes again, once it was needed.
+    pub(crate) content_hash: OnceCell<u64>,
 }
 
 /// Who carries an attempt.
@@ -361,7 +364,8 @@
 
     /// Hash of what makes the request the same when it comes again.
     fn request_hash(&self) -> u64 {
-        request_hash(&self.service, &self.head, &self.body)
+        let hash = || request_hash(&self.service, &self.head, &self.body);
+        *self.content_hash.get_or_init(hash)
     }
 
     /// Number of crashes of instances with this request in flight since it last succeeded.
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -4,6 +4,7 @@
 //! order before the body is read. A request that cannot be served is refused at
 //! once.
 
+use std::cell::OnceCell;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -162,6 +163,7 @@
         head,
         body,
         may_relay: true,
+        content_hash: OnceCell::new(),
     };
     let response = forwarder.forward(record).await.inspect_err(|_| {
         if record.attempt_count() == 0 {
