--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -22,7 +22,7 @@
 use crocushoist_transport::HttpResponse;
 
 /// Data centres, over which hosts and instances are spread in turn.
-pub const DATA_CENTRES: [&str; 2] = ["north", "south"];
+pub const DATA_CENTRES: [&str; 3] = ["north", "south", "east"];
 
 /// Key of the callers.
 pub const KEY: &str = "i9n73hh2b9wu3fexd9dn";
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -6,6 +6,8 @@
 mod fleet;
 mod record;
 mod replaced_hosts;
+mod split_limit;
+mod tenant_load;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -30,6 +32,7 @@
     let result = runtime.block_on(async {
         match case.as_str() {
             "replaced-hosts" => replaced_hosts::play(&mut record, has_trouble).await,
+            "split-limit" => split_limit::play(&mut record, has_trouble).await,
             _ => Err(format!("unknown case {case}")),
         }
     });
