--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Small deployment: hosts as processes, and stand-ins for the store, the instances and the links
 //! from the hosts to the store.
 
+use std::cell::Cell;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -36,6 +37,12 @@
 /// Milliseconds that an instance works on a request.
 const WORK_MS: u64 = 20;
 
+/// Milliseconds between the entries that an instance writes.
+const ENTRY_INTERVAL_MS: u64 = 500;
+
+/// Sequence number of the entry with which an instance leaves; above all earlier ones.
+const LAST_SEQ: u64 = 1_000_000;
+
 /// Milliseconds of the deadline of each request.
 pub const DEADLINE_MS: u64 = 2_000;
 
@@ -54,6 +61,8 @@
     net: u8,
     pub store: Rc<StoreStandin>,
     pub instances: Vec<Rc<InstanceStandin>>,
+    /// Whether each instance writes its entry.
+    listed: Vec<Rc<Cell<bool>>>,
     pub hosts: Vec<HostProcess>,
     /// Link from each host to the store.
     pub store_links: Vec<Rc<LinkProxy>>,
@@ -91,6 +100,7 @@
             net,
             store,
             instances: Vec::new(),
+            listed: Vec::new(),
             hosts: Vec::new(),
             store_links: Vec::new(),
             rate_per_s,
@@ -106,8 +116,14 @@
             let instance = Rc::new(instance);
             let served = Rc::clone(&instance);
             compio::runtime::spawn(async move { served.serve().await }).detach();
-            let store = Rc::clone(&fleet.store);
-            compio::runtime::spawn(Rc::clone(&instance).publish_entries(store)).detach();
+            let listed = Rc::new(Cell::new(true));
+            let entries = publish_entries(
+                Rc::clone(&fleet.store),
+                Rc::clone(&instance),
+                Rc::clone(&listed),
+            );
+            compio::runtime::spawn(entries).detach();
+            fleet.listed.push(listed);
             fleet.instances.push(instance);
         }
         for place in places {
@@ -145,6 +161,35 @@
         Ok(self.hosts.len() - 1)
     }
 
+    /// Has the instance with this index say that it is draining; the store has confirmed it when
+    /// this returns. The instance goes on serving.
+    pub fn drain_instance(&self, index: usize) {
+        self.listed[index].set(false);
+        let instance = &self.instances[index];
+        let entry = entry_of(instance, "draining", LAST_SEQ);
+        self.store.write_instance(&instance.id, &entry);
+    }
+
+    /// Id of the instance that ran the request `attempt_id`.
+    pub fn instance_that_ran(&self, attempt_id: &str) -> Option<String> {
+        let has_run = |instance: &&Rc<InstanceStandin>| {
+            let requests = instance.executed_requests.borrow();
+            requests
+                .iter()
+                .any(|request| request.attempt_id == attempt_id)
+        };
+        let instance = self.instances.iter().find(has_run)?;
+        Some(instance.id.clone())
+    }
+
+    /// Has the instance with this index start again under its id.
+    pub fn restart_instance(&self, index: usize) {
+        let instance = &self.instances[index];
+        let started_at = instance.started_at_unix_ms.get();
+        instance.started_at_unix_ms.set(started_at + 1);
+        self.listed[index].set(true);
+    }
+
     /// Writes a version of the configuration; the store has confirmed it when this returns.
     pub fn write_config(&self, version: u64, keys: &[&str]) {
         self.store.write_config(&StandinConfig {
@@ -175,6 +220,33 @@
     }
 }
 
+/// Entry of `instance` in the store.
+fn entry_of(instance: &InstanceStandin, state: &str, seq: u64) -> String {
+    format!(
+        "{{\"Service\":\"{}\",\"Address\":\"{}\",\"Zone\":\"{}\",\"Version\":\"v1\",\
+         \"Slots\":3,\"State\":\"{state}\",\"WarmupLeftMs\":0,\"Seq\":{seq},\"born\":{}}}",
+        instance.service,
+        instance.address,
+        instance.data_centre,
+        instance.started_at_unix_ms.get(),
+    )
+}
+
+/// Writes the entry of `instance` every [`ENTRY_INTERVAL_MS`] while it is `listed`.
+async fn publish_entries(
+    store: Rc<StoreStandin>,
+    instance: Rc<InstanceStandin>,
+    listed: Rc<Cell<bool>>,
+) {
+    for seq in 1u64.. {
+        if listed.get() {
+            let entry = entry_of(&instance, "ready", seq);
+            store.write_instance(&instance.id, &entry);
+        }
+        sleep(Duration::from_millis(ENTRY_INTERVAL_MS)).await;
+    }
+}
+
 /// Waits until the readiness check of `host` succeeds.
 async fn wait_until_ready(host: &HostProcess) -> Result<(), String> {
     let deadline = Instant::now() + Duration::from_millis(READY_TIMEOUT_MS);
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -4,10 +4,12 @@
 //! held, 1 if it was broken, 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod fleet;
+mod left_instance;
 mod record;
 mod replaced_hosts;
 mod split_limit;
 mod tenant_load;
+mod withdrawn_key;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -31,7 +33,8 @@
     };
     let result = runtime.block_on(async {
         match case.as_str() {
-            "replaced-hosts" => replaced_hosts::play(&mut record, has_trouble).await,
+            "withdrawn-key" => withdrawn_key::play(&mut record, has_trouble).await,
+            "left-instance" => left_instance::play(&mut record, has_trouble).await,
             "split-limit" => split_limit::play(&mut record, has_trouble).await,
             _ => Err(format!("unknown case {case}")),
         }
