Show the age of a host's hub and list in logs and metrics

Change: `hub_age_ms` in the line of each request that is logged; gauges for the age of the hub and of the instance list; a counter of hubs that a host stopped using, by reason.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -405,6 +405,15 @@
         }
     }
 
+    /// Milliseconds since a hub last answered this host, zero if it is the hub, `None` before the
+    /// first answer.
+    pub(crate) fn hub_age(&self, now: ClockTime) -> Option<u64> {
+        if self.is_hub.get() {
+            return Some(0);
+        }
+        self.hub_answered_at.get().map(|at| now.since(at))
+    }
+
     /// How many hosts share the outcome of a read of the store by this one.
     pub(crate) fn read_sharing(&self, now: ClockTime) -> ReadSharing {
         let is_recent =
--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -201,11 +201,14 @@
         context.upstreams.drop_expired();
         context.relays.drop_expired();
         let now = ClockTime::now();
-        let age = context.evidence.borrow().store_age(now);
-        context
-            .metrics
-            .evidence_age_ms
-            .set(age.map_or(-1, |age| age as i64));
+        let metrics = &context.metrics;
+        let in_metrics = |age: Option<u64>| age.map_or(-1, |age| age as i64);
+        let evidence_age = context.evidence.borrow().store_age(now);
+        metrics.evidence_age_ms.set(in_metrics(evidence_age));
+        metrics
+            .listing_age_ms
+            .set(in_metrics(context.listing_age(now)));
+        metrics.hub_age_ms.set(in_metrics(context.hub_age(now)));
         update_instance_gauges(&context, now);
         sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
     }
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -55,11 +55,16 @@
     outcomes: Family<OutcomeLabel, Counter>,
     path_changes: Family<ReasonLabel, Counter>,
     relays: Family<ReasonLabel, Counter>,
+    passed_over_hubs: Family<ReasonLabel, Counter>,
     latency: Family<KindLabel, Histogram>,
     /// Version of the configuration in force.
     pub(crate) config_version: Gauge,
     /// Milliseconds since this host's own newest evidence from the store.
     pub(crate) evidence_age_ms: Gauge,
+    /// Milliseconds since this host last knew every change of the instance list.
+    pub(crate) listing_age_ms: Gauge,
+    /// Milliseconds since a hub last answered, zero at a hub.
+    pub(crate) hub_age_ms: Gauge,
     /// Era of the store.
     pub(crate) store_era: Gauge,
     /// Changes of the store's era since the start.
@@ -85,11 +90,14 @@
         let outcomes = Family::default();
         let path_changes = Family::default();
         let relays = Family::default();
+        let passed_over_hubs = Family::default();
         let latency = Family::<KindLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(LATENCY_BUCKETS_S)
         });
         let config_version = Gauge::default();
         let evidence_age_ms = Gauge::default();
+        let listing_age_ms = Gauge::default();
+        let hub_age_ms = Gauge::default();
         let store_era = Gauge::default();
         let era_changes = Counter::default();
         let era_catch_up_ms = Gauge::default();
@@ -133,6 +141,11 @@
             "Requests sent to instances for other hosts, by outcome",
             relays.clone(),
         );
+        registry.register(
+            "passed_over_hubs",
+            "Hubs that this host stopped using, by reason",
+            passed_over_hubs.clone(),
+        );
         registry.register("answer_seconds", "Time to the answer", latency.clone());
         registry.register(
             "config_version",
@@ -144,6 +157,16 @@
             "Age of the host's own evidence of the store",
             evidence_age_ms.clone(),
         );
+        registry.register(
+            "listing_age_milliseconds",
+            "Age of the host's knowledge of the instance list",
+            listing_age_ms.clone(),
+        );
+        registry.register(
+            "hub_age_milliseconds",
+            "Time since a hub answered, -1 before the first answer",
+            hub_age_ms.clone(),
+        );
         registry.register("store_era", "Era of the store", store_era.clone());
         registry.register(
             "store_era_changes",
@@ -177,9 +200,12 @@
             outcomes,
             path_changes,
             relays,
+            passed_over_hubs,
             latency,
             config_version,
             evidence_age_ms,
+            listing_age_ms,
+            hub_age_ms,
             store_era,
             era_changes,
             era_catch_up_ms,
@@ -253,6 +279,12 @@
         self.relays.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a hub that this host stopped using.
+    pub(crate) fn count_passed_over_hub(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.passed_over_hubs.get_or_create(&label).inc();
+    }
+
     /// Records the milliseconds until the response on a route of `kind`.
     pub(crate) fn observe_latency(&self, kind: &'static str, millis: u64) {
         self.latency
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -197,8 +197,10 @@
             }
             reports.unanswered_since = None;
             // From here on this host does not use the hub that it had chosen.
+            let cause = rejection.map_or("silent", HubRejection::name);
+            self.context.metrics.count_passed_over_hub(cause);
             info!(self.context.logger, "hub passed over"; "hub" => hub.to_string(),
-                "cause" => rejection.map_or("silent", HubRejection::name));
+                "cause" => cause);
         }
         // Without a configuration after a while, this host does not reach the store. Another one may.
         let lacks_config = !self.context.can_be_hub() && !self.context.awaits_hub(now);
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -79,6 +79,7 @@
     record.id = header_text(request.headers(), names::ATTEMPT_ID_HEADER).into();
     record.config_version = context.config_version();
     record.evidence_age = context.evidence.borrow().age(ClockTime::now());
+    record.hub_age = context.hub_age(ClockTime::now());
     let progress = context.in_progress.add(record.id.clone(), ClockTime::now());
     let (head, mut body) = request.into_parts();
     let served = serve_request(
--- a/crates/edge/src/request_record.rs
+++ b/crates/edge/src/request_record.rs
@@ -28,6 +28,8 @@
     pub(crate) config_version: u64,
     /// Milliseconds since the newest evidence that no configuration was missed.
     pub(crate) evidence_age: Option<u64>,
+    /// Milliseconds since a hub last answered, zero at a hub, `None` before the first answer.
+    pub(crate) hub_age: Option<u64>,
     /// Share of the workspace's requests to admit, from the hub or a near-full window record, if
     /// there was one.
     pub(crate) assigned_share: Option<f64>,
@@ -135,7 +137,7 @@
             "request" => self.id.as_str(), "outcome" => outcome, "status" => status,
             "millis" => millis, "budget_ms" => self.budget_ms, "route" => self.route.as_str(),
             "service" => self.service.as_str(), "workspace" => self.workspace.as_str(), "config_version" => self.config_version,
-            "evidence_age_ms" => self.evidence_age, "told_share" => self.assigned_share,
+            "evidence_age_ms" => self.evidence_age, "hub_age_ms" => self.hub_age, "told_share" => self.assigned_share,
             "waiting_per_slot" => self.waiting_per_slot, "attempts" => attempts.join("; "),
             "attempt_count" => self.attempt_count, "retries" => retries.join("; "));
     }
