Find a live hub in constant time behind any number of lost hosts

Cause: registrations stay, and a host tried the registered hosts one after the other, 0.7 s each. A silent one was skipped for 6 s only. With nine lost hosts before the first live one the first of them was a candidate again before the last was tried, so the data centre never had a hub; with fewer it had none for a part of each 6.8 s. A stopped hub was tried again 6 s after its stop likewise.

Ruled out: a hub that knows nothing newer, or knowledge that is ignored.

Change: a suspected host stays suspected until a message from it arrives. While its hub is silent, a host probes the candidates in batches that double, and at the timeout passes over all silent ones before the first that answered. Suspects that would come before the hub are probed once a second, and so is a host that another one follows. A live first host acts as hub by itself and announces that to all others in turn, as before, so no live host stays passed over.

Works without the store and however hosts were lost. A removed registration would not: a host may go while the store is down, or without a word.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -169,6 +169,8 @@
     pub(crate) is_counted: Cell<bool>,
     /// Why another hub must be chosen although the current one answers.
     pub(crate) hub_rejection: Cell<Option<HubRejection>>,
+    /// Host that a follower named as its hub, to be probed if it is suspected.
+    pub(crate) named_hub: Cell<Option<SocketAddr>>,
     /// Whether any registration was read. Before that, this host's part of a limit is unknown.
     pub(crate) knows_hosts: Cell<bool>,
     /// Whether the registrations should be read again.
@@ -256,6 +258,7 @@
             is_hub: Cell::new(false),
             is_counted: Cell::new(false),
             hub_rejection: Cell::new(None),
+            named_hub: Cell::new(None),
             knows_hosts: Cell::new(false),
             roster_read_requested: Cell::new(true),
             newest_config_version: Cell::new(0),
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -340,7 +340,10 @@
         // The answering host does not act as hub. It may know a host that comes before it, whose
         // registration this host has not read yet.
         match answer.hub.take() {
-            Some(hub) => hub.apply(&mut context.roster.borrow_mut()),
+            Some(hub) => {
+                context.named_hub.set(Some(hub.peer_address()));
+                hub.apply(&mut context.roster.borrow_mut());
+            }
             None => context.roster_read_requested.set(true),
         }
     }
--- a/crates/edge/src/peer_message.rs
+++ b/crates/edge/src/peer_message.rs
@@ -48,6 +48,18 @@
     Answer(HubAnswer),
     /// From a hub to a hub of another data centre, or to another host that may act as hub.
     Summary(HubSummary),
+    /// From a host that looks for a live one. Hosts of earlier builds cannot decode it and stay
+    /// silent.
+    Probe,
+    /// From a host that can be hub, as answer to a probe.
+    ProbeAnswer(ProbeAnswer),
+}
+
+/// Answer to a probe.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ProbeAnswer {
+    /// Hub of the answering host, maybe itself.
+    pub(crate) hub: Option<SocketAddr>,
 }
 
 /// Report of a host to its hub.
@@ -219,6 +231,11 @@
         }
     }
 
+    /// Address of the host for datagrams.
+    pub(crate) fn peer_address(&self) -> SocketAddr {
+        self.peers
+    }
+
     /// Adds the host to `roster`.
     pub(crate) fn apply(self, roster: &mut HostRoster) {
         let registration = HostRegistration {
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -3,7 +3,11 @@
 //! Each host reports to the host that it considers the hub of its data centre,
 //! and answers whoever reports to it. A hub that does not answer, or whose
 //! answer shows that it is stopping or that its instance list is behind this
-//! host's own, is skipped for a while and the next host is chosen.
+//! host's own, is skipped and the next host is chosen.
+//!
+//! While a hub is silent, the host probes those that may follow it, so that the
+//! time until it has a hub does not grow with the number of lost hosts. Suspected
+//! hosts that would come before the hub are probed from time to time.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -20,6 +24,7 @@
 
 use crocushoist_policy::CounterSelection;
 use crocushoist_policy::FeedCursor;
+use crocushoist_policy::HubSearch;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::SharedContext;
@@ -41,6 +46,7 @@
 use crate::notes_exchange::report_notes;
 use crate::notes_exchange::summary_notes;
 use crate::peer_message::PeerMessage;
+use crate::peer_message::ProbeAnswer;
 use crate::peer_notes::PeerNotes;
 
 /// Milliseconds between reports.
@@ -52,6 +58,15 @@
 /// Milliseconds without an answer after which another hub is chosen; two reports can be lost.
 const HUB_TIMEOUT_MS: u64 = 700;
 
+/// Milliseconds without an answer after which a host begins to probe the others.
+const SEARCH_DELAY_MS: u64 = 250;
+
+/// Milliseconds after which a search that no host answered begins again.
+const SEARCH_INTERVAL_MS: u64 = 1_000;
+
+/// Number of report intervals from one probe of a suspected host to the next.
+const ROUNDS_PER_SUSPECT: u32 = 16;
+
 /// Number of summaries from one that lists the hosts of the data centre to the next.
 const SUMMARIES_PER_HOST_LIST: u32 = 2;
 
@@ -84,6 +99,13 @@
     selection: CounterSelection,
 }
 
+impl SentReports {
+    /// Milliseconds since the first report that the hub has not answered, zero if it answered all.
+    fn silence_ms(&self, now: ClockTime) -> u64 {
+        self.unanswered_since.map_or(0, |since| now.since(since))
+    }
+}
+
 /// Sends and receives the datagrams of this host.
 pub(crate) struct PeerTasks {
     context: SharedContext,
@@ -91,6 +113,8 @@
     reports: RefCell<SentReports>,
     /// Incarnations of the hubs that sent a summary.
     hub_incarnations: RefCell<HashMap<SocketAddr, u64>>,
+    /// Search for a live host while the hub is silent, and when it began.
+    search: RefCell<(HubSearch, ClockTime)>,
     /// Counters of the summaries, by recipient.
     summary_selections: RefCell<HashMap<SocketAddr, CounterSelection>>,
     /// Positions of the reporters in the feed of estimates.
@@ -114,6 +138,7 @@
                 number: rand::random_range(0..MAX_FIRST_NUMBER),
                 ..Default::default()
             }),
+            search: RefCell::default(),
             hub_incarnations: RefCell::default(),
             summary_selections: RefCell::default(),
             cursors: RefCell::default(),
@@ -125,7 +150,11 @@
         let mut round = 0;
         loop {
             let now = ClockTime::now();
-            match self.select_hub(now) {
+            let hub = self.select_hub(now);
+            for host in self.hosts_to_probe(hub, round, now) {
+                self.probe(host).await;
+            }
+            match hub {
                 Some(hub) if hub != self.context.own_host.peer_address => {
                     self.send_report(hub, now).await;
                     if self.context.aggregator.borrow().reporter_count(now) > 0 {
@@ -181,19 +210,29 @@
         if !self.context.knows_hosts.get() {
             return None;
         }
+        let own_address = self.context.own_host.peer_address;
+        let data_centre = &self.context.own_host.data_centre;
         let mut roster = self.context.roster.borrow_mut();
         let mut reports = self.reports.borrow_mut();
-        let is_silent = reports
-            .unanswered_since
-            .is_some_and(|since| now.since(since) > HUB_TIMEOUT_MS);
+        let is_silent = reports.silence_ms(now) > HUB_TIMEOUT_MS && {
+            let candidates = roster.candidates(data_centre, own_address, now);
+            self.search.borrow().0.is_settled(&candidates)
+        };
         let rejection = self.context.hub_rejection.take();
         if (is_silent || rejection.is_some())
             && let Some(hub) = reports.hub.take()
         {
-            if rejection.is_some() {
-                roster.mark_unfit(hub, now);
-            } else {
-                roster.suspect(hub, now);
+            match rejection {
+                Some(HubRejection::Stopping) => roster.mark_stopping(hub, now),
+                Some(HubRejection::Behind) => roster.mark_unfit(hub, now),
+                None => {
+                    let candidates = roster.candidates(data_centre, own_address, now);
+                    let search = &self.search.borrow().0;
+                    for silent in search.silent_candidates(&candidates) {
+                        roster.suspect(silent);
+                    }
+                    roster.suspect(hub);
+                }
             }
             reports.unanswered_since = None;
             // From here on this host does not use the hub that it had chosen.
@@ -205,14 +244,16 @@
         // Without a configuration after a while, this host does not reach the store. Another one may.
         let lacks_config = !self.context.can_be_hub() && !self.context.awaits_hub(now);
         if self.context.is_stopping() || lacks_config {
-            roster.mark_unfit(self.context.own_host.peer_address, now);
+            roster.mark_unfit(own_address, now);
         }
         let hub = roster
-            .hub_of(&self.context.own_host.data_centre, now)
+            .hub_of(data_centre, now)
             .map(|host| host.peer_address);
         if reports.hub != hub {
             info!(self.context.logger, "hub chosen";
-                "hub" => hub.map(|hub| hub.to_string()), "hosts" => roster.len());
+                "hub" => hub.map(|hub| hub.to_string()), "hosts" => roster.len(),
+                "suspected" => roster.suspect_count());
+            *self.search.borrow_mut() = (HubSearch::default(), now);
             *reports = SentReports {
                 hub,
                 number: reports.number,
@@ -225,12 +266,54 @@
             self.context.hub_known_since.set(Some(now));
         }
         self.context.hub.set(hub);
-        self.context
-            .is_hub
-            .set(hub == Some(self.context.own_host.peer_address));
+        self.context.is_hub.set(hub == Some(own_address));
         hub
     }
 
+    /// Hosts to ask for a sign of life in this round.
+    fn hosts_to_probe(
+        &self,
+        hub: Option<SocketAddr>,
+        round: u32,
+        now: ClockTime,
+    ) -> Vec<SocketAddr> {
+        if !self.context.knows_hosts.get() {
+            return Vec::new();
+        }
+        let own_address = self.context.own_host.peer_address;
+        let data_centre = &self.context.own_host.data_centre;
+        let roster = self.context.roster.borrow();
+        let silence_ms = self.reports.borrow().silence_ms(now);
+        if hub.is_none() || silence_ms > SEARCH_DELAY_MS {
+            let candidates = roster.candidates(data_centre, own_address, now);
+            let (search, began_at) = &mut *self.search.borrow_mut();
+            if search.is_settled(&candidates) && now.since(*began_at) > SEARCH_INTERVAL_MS {
+                *search = HubSearch::default();
+                *began_at = now;
+            }
+            return search.next_batch(&candidates);
+        }
+        // A suspected host that another one follows is probably alive.
+        let named = self.context.named_hub.take();
+        let mut hosts: Vec<SocketAddr> = named
+            .into_iter()
+            .filter(|named| roster.is_suspected(*named))
+            .collect();
+        if let Some(hub) = hub
+            && round.is_multiple_of(ROUNDS_PER_SUSPECT)
+        {
+            let suspects = roster.suspects_before(data_centre, hub, now);
+            let index = (round / ROUNDS_PER_SUSPECT) as usize % suspects.len().max(1);
+            hosts.extend(suspects.get(index));
+        }
+        hosts
+    }
+
+    async fn probe(&self, host: SocketAddr) {
+        self.send_to(host, &PeerMessage::Probe, &PeerNotes::default())
+            .await;
+    }
+
     /// Sends the next report and records when it was sent.
     async fn send_report(&self, hub: SocketAddr, now: ClockTime) {
         let report = {
@@ -380,7 +463,7 @@
     /// Applies a message from `peer` with its notes, and answers a report.
     async fn handle_message(&self, peer: SocketAddr, message: PeerMessage, notes: &PeerNotes) {
         let now = ClockTime::now();
-        self.context.roster.borrow_mut().clear_suspicion(peer);
+        self.context.roster.borrow_mut().clear_suspicion(peer, now);
         match message {
             // This host does not know the other hosts or the limits, so the shares that it
             // assigns could exceed the limits together with those of other hubs. Without an
@@ -417,6 +500,15 @@
                 apply_summary(&self.context, peer, summary, now);
                 apply_summary_notes(&self.context, peer, notes, now);
             }
+            PeerMessage::Probe if !self.context.can_be_hub() || self.context.is_stopping() => {}
+            PeerMessage::Probe => {
+                let hub = self.context.hub.get();
+                let answer = PeerMessage::ProbeAnswer(ProbeAnswer { hub });
+                self.send_to(peer, &answer, &PeerNotes::default()).await;
+            }
+            PeerMessage::ProbeAnswer(_) => {
+                self.search.borrow_mut().0.record_answer(peer);
+            }
         }
     }
 
@@ -441,6 +533,7 @@
         let sent_at = sent.map(|(_, at)| *at)?;
         reports.unanswered_since = None;
         reports.has_answer = true;
+        self.search.borrow_mut().0 = HubSearch::default();
         Some(sent_at)
     }
 
--- a/crates/policy/src/host_roster.rs
+++ b/crates/policy/src/host_roster.rs
@@ -4,6 +4,10 @@
 //! registrations choose the same hub, also after restarts. The hub of a data
 //! centre is its first host that is neither suspected nor unfit. Hosts may disagree about the
 //! hub for a while; each reports to the host that it considers the hub.
+//!
+//! A suspected host stays suspected until a message from it arrives, however long that takes: a
+//! host that was lost for good stays registered, and must not be tried again and again. A host
+//! that is alive and comes first acts as hub by itself and announces that to the others.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -18,10 +22,6 @@
 use crate::StoreEra;
 use crate::StoreOffset;
 
-/// Milliseconds for which a silent candidate is skipped, unless a message from it arrives
-/// earlier.
-const SUSPECT_MS: u64 = 6_000;
-
 /// Milliseconds for which a reachable candidate is skipped that cannot serve as a hub.
 const UNFIT_MS: u64 = 6_000;
 
@@ -59,9 +59,9 @@
 pub struct HostRoster {
     /// Registrations by peer address, each with its offset in the store.
     registrations: BTreeMap<SocketAddr, (StoreOffset, HostRegistration)>,
-    /// Silent hosts by peer address, each with the time until which it is skipped as a hub.
-    suspects: HashMap<SocketAddr, ClockTime>,
-    /// Hosts that cannot serve as a hub, likewise.
+    /// Silent hosts by peer address.
+    suspects: HashSet<SocketAddr>,
+    /// Hosts that cannot serve as a hub, each with the time until which it is skipped.
     unfit: HashMap<SocketAddr, ClockTime>,
     /// Era in which all registrations were last read.
     read_era: StoreEra,
@@ -114,9 +114,9 @@
         });
     }
 
-    /// Skips the silent host at `peer_address` as a hub for `SUSPECT_MS`.
-    pub fn suspect(&mut self, peer_address: SocketAddr, now: ClockTime) {
-        self.suspects.insert(peer_address, now.plus(SUSPECT_MS));
+    /// Skips the silent host at `peer_address` as a hub until a message from it arrives.
+    pub fn suspect(&mut self, peer_address: SocketAddr) {
+        self.suspects.insert(peer_address);
     }
 
     /// Skips the host at `peer_address` as a hub for `UNFIT_MS`, even if it is reachable.
@@ -124,9 +124,53 @@
         self.unfit.insert(peer_address, now.plus(UNFIT_MS));
     }
 
-    /// Stops skipping the host at `peer_address` as silent, because a message from it arrived.
-    pub fn clear_suspicion(&mut self, peer_address: SocketAddr) {
-        self.suspects.remove(&peer_address);
+    /// Skips the stopping host at `peer_address` as a hub: for `UNFIT_MS`, and from then on until a
+    /// message from it shows that it started again.
+    pub fn mark_stopping(&mut self, peer_address: SocketAddr, now: ClockTime) {
+        self.mark_unfit(peer_address, now);
+        self.suspect(peer_address);
+    }
+
+    /// Stops skipping the host at `peer_address` as silent, because a message from it arrived. One
+    /// of an unfit host does not count: a stopping host still sends some.
+    pub fn clear_suspicion(&mut self, peer_address: SocketAddr, now: ClockTime) {
+        if !self.is_unfit(peer_address, now) {
+            self.suspects.remove(&peer_address);
+        }
+    }
+
+    /// Whether the host at `peer_address` is skipped as silent.
+    pub fn is_suspected(&self, peer_address: SocketAddr) -> bool {
+        self.suspects.contains(&peer_address)
+    }
+
+    /// Candidates for the hub of `data_centre` in their order, suspected or not, as the host at
+    /// `own_address` sees them: those before itself, or all others if it cannot be hub.
+    pub fn candidates(
+        &self,
+        data_centre: &str,
+        own_address: SocketAddr,
+        now: ClockTime,
+    ) -> Vec<SocketAddr> {
+        let addresses = self.hosts_in(data_centre).map(|host| host.peer_address);
+        addresses
+            .filter(|address| !self.is_unfit(*address, now))
+            .take_while(|address| *address != own_address)
+            .collect()
+    }
+
+    /// Suspected hosts that would be the hub of `data_centre` in place of the one at `hub`.
+    pub fn suspects_before(
+        &self,
+        data_centre: &str,
+        hub: SocketAddr,
+        now: ClockTime,
+    ) -> Vec<SocketAddr> {
+        let candidates = self.candidates(data_centre, hub, now);
+        let suspected = candidates.into_iter();
+        suspected
+            .filter(|address| self.is_suspected(*address))
+            .collect()
     }
 
     /// Hub of `data_centre`: its first host that is neither suspected nor unfit.
@@ -171,6 +215,11 @@
         names
     }
 
+    /// Number of hosts that are skipped as silent.
+    pub fn suspect_count(&self) -> usize {
+        self.suspects.len()
+    }
+
     /// Number of registered hosts.
     pub fn len(&self) -> usize {
         self.registrations.len()
@@ -182,11 +231,11 @@
     }
 
     fn is_excluded(&self, peer_address: SocketAddr, now: ClockTime) -> bool {
-        let exclusions = [&self.suspects, &self.unfit];
-        exclusions.iter().any(|deadlines| {
-            deadlines
-                .get(&peer_address)
-                .is_some_and(|until| now < *until)
-        })
+        self.is_suspected(peer_address) || self.is_unfit(peer_address, now)
+    }
+
+    fn is_unfit(&self, peer_address: SocketAddr, now: ClockTime) -> bool {
+        let until = self.unfit.get(&peer_address);
+        until.is_some_and(|until| now < *until)
     }
 }
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -146,19 +146,46 @@
     assert_eq!(first.hub_of("north", at(0)), second.hub_of("north", at(0)));
 }
 
+/// Guards against a data centre that tries its lost hosts again and again and has no hub meanwhile.
 #[test]
-fn silent_hub_is_skipped_for_a_while() {
+fn silent_hub_is_skipped_until_a_message_from_it_arrives() {
+    const DAY_MS: u64 = 24 * 3_600 * 1_000;
     let mut roster = HostRoster::default();
     for number in 1..4 {
         roster.apply_registration(offset(u64::from(number)), registration(number, "north"));
     }
-    roster.suspect(registration(1, "north").peer_address, at(0));
+    let first = registration(1, "north").peer_address;
+    roster.suspect(first);
+    for millis in [100, 5_900, 6_100, DAY_MS] {
+        assert_eq!(
+            roster.hub_of("north", at(millis)),
+            Some(&registration(2, "north"))
+        );
+    }
+    roster.clear_suspicion(first, at(DAY_MS));
     assert_eq!(
-        roster.hub_of("north", at(100)),
+        roster.hub_of("north", at(DAY_MS)),
+        Some(&registration(1, "north"))
+    );
+}
+
+/// Guards against a stopped hub that is tried again once its stop is some seconds ago.
+#[test]
+fn stopping_hub_is_skipped_until_it_sends_messages_after_its_stop() {
+    let mut roster = HostRoster::default();
+    for number in 1..4 {
+        roster.apply_registration(offset(u64::from(number)), registration(number, "north"));
+    }
+    let first = registration(1, "north").peer_address;
+    roster.mark_stopping(first, at(0));
+    roster.clear_suspicion(first, at(5_900));
+    assert_eq!(
+        roster.hub_of("north", at(60_000)),
         Some(&registration(2, "north"))
     );
+    roster.clear_suspicion(first, at(60_000));
     assert_eq!(
-        roster.hub_of("north", at(6_100)),
+        roster.hub_of("north", at(60_000)),
         Some(&registration(1, "north"))
     );
 }
@@ -169,8 +196,8 @@
     for number in 1..4 {
         roster.apply_registration(offset(u64::from(number)), registration(number, "north"));
     }
-    roster.suspect(registration(1, "north").peer_address, at(0));
-    roster.clear_suspicion(registration(1, "north").peer_address);
+    roster.suspect(registration(1, "north").peer_address);
+    roster.clear_suspicion(registration(1, "north").peer_address, at(50));
     assert_eq!(
         roster.hub_of("north", at(100)),
         Some(&registration(1, "north"))
@@ -184,7 +211,7 @@
         roster.apply_registration(offset(u64::from(number)), registration(number, "north"));
     }
     roster.mark_unfit(registration(1, "north").peer_address, at(0));
-    roster.clear_suspicion(registration(1, "north").peer_address);
+    roster.clear_suspicion(registration(1, "north").peer_address, at(50));
     assert_eq!(
         roster.hub_of("north", at(100)),
         Some(&registration(2, "north"))
@@ -274,9 +301,9 @@
     }
     let hub = |roster: &HostRoster, now| roster.hub_of("north", now).map(|host| host.peer_address);
     assert_eq!(hub(&roster, at(0)), Some(reporter(2).peer_address));
-    roster.suspect(reporter(2).peer_address, at(0));
+    roster.suspect(reporter(2).peer_address);
     assert_eq!(hub(&roster, at(0)), Some(reporter(3).peer_address));
-    roster.suspect(reporter(3).peer_address, at(0));
+    roster.suspect(reporter(3).peer_address);
     assert_eq!(hub(&roster, at(0)), Some(reporter(1).peer_address));
 }
 
