Let an idle host without a hub read the store before its knowledge is too old

Cause: such a host read the store every 3 s only, and the next request found knowledge older than the 2 s within which versions and removals take effect.

Change: an idle host without a hub reads when its knowledge is stale, as one with requests does. It backs off to 3 s only while the store does not answer it, when nothing could be known earlier.

--- a/crates/policy/src/store_read_pacer.rs
+++ b/crates/policy/src/store_read_pacer.rs
@@ -5,7 +5,8 @@
 //! each host reads with a probability that gives a constant number of readers
 //! for the data centre, whatever its size. A host whose read succeeded goes on
 //! in place of the hub while that cannot read. A host that no hub answers reads
-//! for itself alone.
+//! for itself alone, whether or not it has requests: the next one may come at any time, and must
+//! find knowledge that is recent enough.
 
 use crocushoist_state::ClockTime;
 
@@ -17,8 +18,9 @@
 /// Milliseconds after a successful read during which a host goes on in place of its hub.
 const SUBSTITUTE_MS: u64 = 1_500;
 
-/// Interval in milliseconds between reads of a host that no hub answers and that has no requests.
-const IDLE_INTERVAL_MS: u64 = 3_000;
+/// Interval in milliseconds between reads of a host that no hub answers and that has no requests,
+/// while the store does not answer either.
+const IDLE_RETRY_MS: u64 = 3_000;
 
 /// How many hosts share the outcome of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,7 +73,8 @@
                 since_read >= backoff_ms && draw < probability
             }
             ReadSharing::Alone => since_read >= backoff_ms,
-            ReadSharing::AloneAndIdle => since_read >= IDLE_INTERVAL_MS,
+            ReadSharing::AloneAndIdle if self.failures > 0 => since_read >= IDLE_RETRY_MS,
+            ReadSharing::AloneAndIdle => since_read >= MIN_INTERVAL_MS,
         }
     }
 
--- a/crates/policy/tests/store_herd.rs
+++ b/crates/policy/tests/store_herd.rs
@@ -71,6 +71,25 @@
     assert_eq!(idle, 2);
 }
 
+/// Guards against an idle host that no hub answers and that learns too late of a version or of an
+/// instance that leaves (review cases 1 and 3).
+#[parameterized(config = { 1_400 }, instances = { 1_000 })]
+fn idle_host_without_a_hub_reads_before_its_knowledge_is_too_old(stale_ms: u64) {
+    /// Milliseconds within which a host must know what the store confirmed.
+    const MAX_AGE_MS: u64 = 2_000;
+    let mut pacer = StoreReadPacer::new(READERS_PER_CHECK);
+    let mut known_at = 0;
+    for millis in (0..60_000).step_by(CHECK_INTERVAL_MS as usize) {
+        let is_stale = millis - known_at > stale_ms;
+        if is_stale && pacer.is_due(ReadSharing::AloneAndIdle, 0.5, at(millis)) {
+            pacer.record_read(true, at(millis));
+            known_at = millis;
+        }
+        let age = millis - known_at;
+        assert!(age <= MAX_AGE_MS, "{age} ms old after {millis} ms");
+    }
+}
+
 #[test]
 fn host_whose_read_succeeded_goes_on_in_place_of_its_hub() {
     let mut pacer = StoreReadPacer::new(READERS_PER_CHECK);
