Find the hubs of data centres whose first hosts were replaced

Cause: a hub that knows no hub of another data centre sent its summaries to the first four registered hosts there. When these had left, the new hubs never heard of each other, and after 5 s each took its own data centre for the whole fleet.

Change: such a hub probes all hosts of that data centre in turn, eight with each summary, and one that is alive names its hub, which then gets the summaries. A probe has one byte, a summary hundreds. Summaries still go to the first four in turn, for hosts of the build before, which do not answer probes.

--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -7,7 +7,8 @@
 //!
 //! While a hub is silent, the host probes those that may follow it, so that the
 //! time until it has a hub does not grow with the number of lost hosts. Suspected
-//! hosts that would come before the hub are probed from time to time.
+//! hosts that would come before the hub are probed from time to time, and so are
+//! hosts of a data centre whose hub is not known.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -16,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use compio::BufResult;
 use compio::net::UdpSocket;
 use compio::time::sleep;
@@ -67,6 +69,9 @@
 /// Number of report intervals from one probe of a suspected host to the next.
 const ROUNDS_PER_SUSPECT: u32 = 16;
 
+/// Number of hosts of a data centre without a known hub that are probed with each summary.
+const REMOTE_PROBES_PER_SUMMARY: usize = 8;
+
 /// Number of summaries from one that lists the hosts of the data centre to the next.
 const SUMMARIES_PER_HOST_LIST: u32 = 2;
 
@@ -395,6 +400,9 @@
             let mut aggregator = self.context.aggregator.borrow_mut();
             (aggregator.take_outcomes(), aggregator.take_service_counts())
         };
+        for host in self.remote_hosts_to_probe(number, now) {
+            self.probe(host).await;
+        }
         for hub in self.all_summary_recipients(number, now) {
             let with_hosts = number.is_multiple_of(SUMMARIES_PER_HOST_LIST);
             let summary = {
@@ -415,26 +423,47 @@
         }
     }
 
-    /// Recipients of a summary: hubs that sent or were named in a recent summary, the hub of this
+    /// Hosts of other data centres of which this hub hears no hub, in their order as hubs.
+    fn hosts_without_reachable_hub(&self, now: ClockTime) -> Vec<Vec<SocketAddr>> {
+        let roster = self.context.roster.borrow();
+        let reachable_hubs = self.context.aggregator.borrow().reachable_hubs(now);
+        let is_reachable = |data_centre: &CompactString| {
+            let mut hubs = reachable_hubs.iter();
+            hubs.any(|(_, hub_centre)| hub_centre == data_centre)
+        };
+        let data_centres = roster.data_centres().into_iter();
+        data_centres
+            .filter(|data_centre| *data_centre != self.context.own_host.data_centre)
+            .filter(|data_centre| !is_reachable(data_centre))
+            .map(|data_centre| {
+                let hosts = roster.hosts_in(&data_centre);
+                hosts.map(|host| host.peer_address).collect()
+            })
+            .collect()
+    }
+
+    /// Some hosts in turn of each data centre without a reachable hub; one that is alive names its
+    /// hub.
+    fn remote_hosts_to_probe(&self, round: u32, now: ClockTime) -> Vec<SocketAddr> {
+        let mut probed = Vec::new();
+        for hosts in self.hosts_without_reachable_hub(now) {
+            let first = round as usize * REMOTE_PROBES_PER_SUMMARY;
+            let count = REMOTE_PROBES_PER_SUMMARY.min(hosts.len());
+            probed.extend((first..first + count).map(|index| hosts[index % hosts.len()]));
+        }
+        probed
+    }
+
+    /// Recipients of a summary: hubs that sent or were named in a recent message, the hub of this
     /// host, and for each data centre without a reachable hub one of its first hosts in turn.
     fn all_summary_recipients(&self, round: u32, now: ClockTime) -> Vec<SocketAddr> {
         const MAX_CANDIDATES: usize = 4;
-        let roster = self.context.roster.borrow();
-        let reachable_hubs = self.context.aggregator.borrow().reachable_hubs(now);
         let own_host = &self.context.own_host;
         let mut hubs = self.context.aggregator.borrow().summary_recipients(now);
         hubs.extend(self.reports.borrow().hub);
-        for data_centre in roster.data_centres() {
-            if data_centre == own_host.data_centre
-                || reachable_hubs
-                    .iter()
-                    .any(|(_, hub_centre)| *hub_centre == data_centre)
-            {
-                continue;
-            }
-            let candidates: Vec<_> = roster.hosts_in(&data_centre).take(MAX_CANDIDATES).collect();
-            let index = round as usize % candidates.len().max(1);
-            hubs.extend(candidates.get(index).map(|host| host.peer_address));
+        for hosts in self.hosts_without_reachable_hub(now) {
+            let index = round as usize % MAX_CANDIDATES.min(hosts.len()).max(1);
+            hubs.extend(hosts.get(index));
         }
         if self.context.is_hub.get() {
             hubs.extend(self.next_non_reporting_host(round, now));
@@ -506,12 +535,23 @@
                 let answer = PeerMessage::ProbeAnswer(ProbeAnswer { hub });
                 self.send_to(peer, &answer, &PeerNotes::default()).await;
             }
-            PeerMessage::ProbeAnswer(_) => {
+            PeerMessage::ProbeAnswer(answer) => {
                 self.search.borrow_mut().0.record_answer(peer);
+                if self.is_remote(peer) {
+                    let mut aggregator = self.context.aggregator.borrow_mut();
+                    aggregator.add_named_hubs(answer.hub.as_slice(), now);
+                }
             }
         }
     }
 
+    /// Whether `peer` is registered in another data centre.
+    fn is_remote(&self, peer: SocketAddr) -> bool {
+        let roster = self.context.roster.borrow();
+        let registered = roster.find(peer);
+        registered.is_some_and(|(_, host)| host.data_centre != self.context.own_host.data_centre)
+    }
+
     /// Starts again with all counters for a hub that restarted.
     fn restart_selection(&self, peer: SocketAddr, incarnation: u64) {
         let known = self.hub_incarnations.borrow_mut().insert(peer, incarnation);
