Share reads of the store among the hosts that report to the hub

Lost hosts stay registered and read nothing: with 12 of 15 lost, 0.3 readers of the list start at a check in place of 1.5.

Change: answers tell how many hosts report to the hub (a section of the notes, which the build before skips), and hosts divide by that. A hub of the build before tells nothing; then the registered hosts count as before.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -171,6 +171,8 @@
     pub(crate) hub_rejection: Cell<Option<HubRejection>>,
     /// Host that a follower named as its hub, to be probed if it is suspected.
     pub(crate) named_hub: Cell<Option<SocketAddr>>,
+    /// Hosts that report to the hub of this host, as it told; `None` if it did not.
+    pub(crate) hub_reporters: Cell<Option<usize>>,
     /// Whether any registration was read. Before that, this host's part of a limit is unknown.
     pub(crate) knows_hosts: Cell<bool>,
     /// Whether the registrations should be read again.
@@ -259,6 +261,7 @@
             is_counted: Cell::new(false),
             hub_rejection: Cell::new(None),
             named_hub: Cell::new(None),
+            hub_reporters: Cell::new(None),
             knows_hosts: Cell::new(false),
             roster_read_requested: Cell::new(true),
             newest_config_version: Cell::new(0),
@@ -422,8 +425,12 @@
         let is_recent =
             |at: Option<ClockTime>, millis| at.is_some_and(|at| now.since(at) <= millis);
         if is_recent(self.hub_answered_at.get(), HUB_ANSWER_VALID_MS) {
-            let roster = self.roster.borrow();
-            return ReadSharing::Hub(roster.hosts_in(&self.own_host.data_centre).count());
+            // Hosts that were lost stay registered, and read nothing.
+            let hosts = self.hub_reporters.get().unwrap_or_else(|| {
+                let roster = self.roster.borrow();
+                roster.hosts_in(&self.own_host.data_centre).count()
+            });
+            return ReadSharing::Hub(hosts);
         }
         if is_recent(self.last_request_at.get(), REQUEST_RECENT_MS) {
             ReadSharing::Alone
--- a/crates/edge/src/notes_exchange.rs
+++ b/crates/edge/src/notes_exchange.rs
@@ -78,6 +78,7 @@
 /// Notes of the answer to a report with the notes `asked`; only a hub issues permits.
 pub(crate) fn answer_notes(context: &EdgeContext, asked: &PeerNotes, now: ClockTime) -> PeerNotes {
     let mut notes = told_notes(context, now);
+    notes.reporters = Some(context.aggregator.borrow().reporter_count(now));
     if !context.is_hub.get() {
         return notes;
     }
@@ -149,6 +150,8 @@
     now: ClockTime,
 ) {
     apply_told(context, hub, notes, now);
+    let reporters = notes.reporters.map(|count| count as usize);
+    context.hub_reporters.set(reporters);
     if notes.permits.is_empty() || number <= context.permits_added.get() {
         return;
     }
--- a/crates/edge/src/peer_notes.rs
+++ b/crates/edge/src/peer_notes.rs
@@ -23,6 +23,7 @@
 const WANTED_SECTION: u32 = 4;
 const SUSPECTS_SECTION: u32 = 5;
 const KNOWLEDGE_SECTION: u32 = 6;
+const REPORTERS_SECTION: u32 = 7;
 
 /// What a datagram has beyond the message.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -39,6 +40,8 @@
     pub(crate) permits: Vec<WireGrant>,
     /// In a summary: what the sender knows of the configuration.
     pub(crate) knowledge: Option<ConfigKnowledge>,
+    /// In an answer: number of hosts that report to the sender.
+    pub(crate) reporters: Option<u32>,
 }
 
 /// What a host knows of the configuration: the version in force, and how many milliseconds ago the
@@ -86,6 +89,7 @@
         add_section(&mut sections, WANTED_SECTION, &self.wanted)?;
         add_section(&mut sections, SUSPECTS_SECTION, &self.suspects)?;
         add_section(&mut sections, KNOWLEDGE_SECTION, self.knowledge.as_slice())?;
+        add_section(&mut sections, REPORTERS_SECTION, self.reporters.as_slice())?;
         if !sections.is_empty() {
             bytes.extend(postcard::to_allocvec(&sections)?);
         }
@@ -115,6 +119,7 @@
                 WANTED_SECTION => read_section(&content, &mut notes.wanted),
                 SUSPECTS_SECTION => read_section(&content, &mut notes.suspects),
                 KNOWLEDGE_SECTION => read_one(&content, &mut notes.knowledge),
+                REPORTERS_SECTION => read_one(&content, &mut notes.reporters),
                 // A later build wrote it.
                 _ => Ok(()),
             };
