Take a refusal only for one of the attempt that waits

A faulty instance had written an earlier 421 once more on a kept connection.

Cause: status 421 was judged before the id of the attempt that the response echoes, so any 421 counted as not run and the request was sent again.

Change: a 421 counts only if it echoes the id of this attempt, or has no id and is the first response on its connection, which no earlier attempt can have used. Any other one counts as crossed: the attempt may have run.

Looked at besides: a shed response already had to echo the id. A host never sends one request to the same instance twice (instances that were tried are left out, hedges included), so its id occurs once on a connection. Bytes that wait on a pooled connection before a request is written come to the same check. Probes of paths open connections and read nothing. Between hosts, a relay whose answer did not arrive in time drops its connection.

--- a/crates/edge/src/instance_attempt.rs
+++ b/crates/edge/src/instance_attempt.rs
@@ -2,7 +2,9 @@
 //!
 //! A request counts as not run only if the instance says so or if no byte of it
 //! was written. A response is accepted only if it echoes the id of this attempt
-//! and is complete, and a success must also have a signature header. An instance
+//! and is complete, and a success must also have a signature header. A refusal
+//! counts as one of this attempt on the same condition, since an instance may
+//! write an earlier one once more on a kept connection. An instance
 //! that says that it is leaving, or wants no requests, is believed from the head of
 //! the response on, whatever the rest is like.
 
@@ -57,6 +59,9 @@
 /// Cause of an attempt that another instance received at the listed address.
 const MISDIRECTED: &str = "misdirected";
 
+/// Cause of an attempt whose response does not echo the attempt's id.
+const CROSSED: &str = "crossed";
+
 /// Causes of attempts whose connection ended before the response head, or within the body.
 const BROKEN_OFF: &str = "broken_off";
 const CUT_SHORT: &str = "cut_short";
@@ -204,7 +209,7 @@
         }
         Ok(Ok(response)) => {
             guard.record_contact(contact);
-            handle_response(context, guard, connection, response, input).await
+            handle_response(context, guard, (connection, contact), response, input).await
         }
     }
 }
@@ -238,12 +243,21 @@
 async fn handle_response(
     context: &SharedContext,
     guard: &mut InFlightGuard,
-    connection: UpstreamConnection,
+    (connection, contact): (UpstreamConnection, PathContact),
     response: Response<Incoming>,
     input: AttemptInput<'_>,
 ) -> AttemptResult {
     let (head, body) = response.into_parts();
+    // A response to another attempt proves nothing about this one.
+    let told_id = head.headers.get(names::ATTEMPT_ID_HEADER);
+    let echoes_attempt_id = input.head.attempt_id() == told_id;
     if head.status.as_u16() == names::MISDIRECTED_STATUS {
+        // The first response on a connection has no earlier attempt to be about.
+        let is_first = told_id.is_none() && contact == PathContact::NewConnection;
+        if !echoes_attempt_id && !is_first {
+            guard.record_failed();
+            return AttemptResult::MayHaveRun { reason: CROSSED };
+        }
         // What the response says is about another instance.
         guard.record_misdirected();
         return AttemptResult::NotRun {
@@ -252,8 +266,6 @@
         };
     }
     let signals = InstanceSignals::decode(head.status, &head.headers);
-    // A response to another attempt proves nothing about this one.
-    let echoes_attempt_id = input.head.attempt_id() == head.headers.get(names::ATTEMPT_ID_HEADER);
     guard.record_signals(signals, &head.headers, echoes_attempt_id);
     if echoes_attempt_id && head.headers.contains_key(names::NOT_EXECUTED_HEADER) {
         guard.record_shed();
@@ -265,8 +277,7 @@
     }
     if !echoes_attempt_id {
         guard.record_failed();
-        // The response does not echo the id of this attempt.
-        return AttemptResult::MayHaveRun { reason: "crossed" };
+        return AttemptResult::MayHaveRun { reason: CROSSED };
     }
     let limited = Limited::new(body, MAX_RESPONSE_BYTES);
     let body = match timeout_at(input.deadline, limited.collect()).await {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -241,7 +241,11 @@
                     history.instance_silences.push(cut);
                 }
                 LinkState::Stalled | LinkState::OneWay => history.instance_silences.push(cut),
-                LinkState::Open | LinkState::Delayed(_) | LinkState::Endless(_) => {}
+                LinkState::Open
+                | LinkState::Delayed(_)
+                | LinkState::Endless(_)
+                | LinkState::CutAfter(_)
+                | LinkState::EarlierRefusal(_) => {}
             }
         }
         FaultKind::InstanceFault(instance, choice) => {
