Bound the log lines about entries that name no instance

Reported by other operators: an odd entry among those of the instances. Here it ends no host and stops none: entries that are nested 100,000 levels deep, numbers too large, ports out of range and bytes that are no text were skipped before.

Cause of what it did: each host wrote a line each time that it read such an entry. With fourteen of them written every 0.1 s, 429 lines at a host in 10 s.

Change: all skipped entries are counted (crocushoist_skipped_entries_total); one line in 10 s says how many, and names the last with its cause.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -48,6 +48,7 @@
 use crate::edge_settings::EdgeSettings;
 use crate::hub_rejection::HubRejection;
 use crate::request_progress::ProgressRegister;
+use crate::skip_log::SkipLog;
 
 /// Milliseconds after which a call to the store without a long poll fails.
 pub(crate) const STORE_TIMEOUT_MS: u64 = 1_000;
@@ -197,6 +198,8 @@
     pub(crate) last_request_at: Cell<Option<ClockTime>>,
     /// When this host last logged that an instance sent an unreadable header.
     pub(crate) unreadable_signal_logged_at: Cell<Option<ClockTime>>,
+    /// Entries of the instance list that were skipped.
+    pub(crate) skipped_entries: SkipLog,
     /// Start of the process.
     pub(crate) started_at: ClockTime,
     /// Start of the planned stop, `None` before it.
@@ -274,6 +277,7 @@
             answered_report_at: Cell::new(None),
             last_request_at: Cell::new(None),
             unreadable_signal_logged_at: Cell::new(None),
+            skipped_entries: SkipLog::default(),
             started_at: ClockTime::now(),
             stop_started_at: Cell::new(None),
             in_progress: Rc::default(),
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -61,6 +61,8 @@
     pub(crate) config_version: Gauge,
     /// Milliseconds since this host's own newest evidence from the store.
     pub(crate) evidence_age_ms: Gauge,
+    /// Entries of the instance list that were skipped, each time they were read.
+    pub(crate) skipped_entries: Counter,
     /// Milliseconds since this host last knew every change of the instance list.
     pub(crate) listing_age_ms: Gauge,
     /// Milliseconds since a hub last answered, zero at a hub.
@@ -96,6 +98,7 @@
         });
         let config_version = Gauge::default();
         let evidence_age_ms = Gauge::default();
+        let skipped_entries = Counter::default();
         let listing_age_ms = Gauge::default();
         let hub_age_ms = Gauge::default();
         let store_era = Gauge::default();
@@ -157,6 +160,11 @@
             "Age of the host's own evidence of the store",
             evidence_age_ms.clone(),
         );
+        registry.register(
+            "skipped_entries",
+            "Entries that name no instance to use, each time they were read",
+            skipped_entries.clone(),
+        );
         registry.register(
             "listing_age_milliseconds",
             "Age of the host's knowledge of the instance list",
@@ -204,6 +212,7 @@
             latency,
             config_version,
             evidence_age_ms,
+            skipped_entries,
             listing_age_ms,
             hub_age_ms,
             store_era,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -42,3 +42,4 @@
 mod request_progress;
 mod request_record;
 mod roster_sync;
+mod skip_log;
--- a/crates/edge/src/listing_reader.rs
+++ b/crates/edge/src/listing_reader.rs
@@ -7,6 +7,7 @@
 //! A list of another era is read in full. Instances that it lacks get the time
 //! to write their entries again.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use compio::time::sleep;
@@ -211,16 +212,24 @@
                 let mut table = context.instances.borrow_mut();
                 table.apply_listing(record.offset, listing, now)
             }
-            Err(error) => {
-                warn!(context.logger, "skipped an unreadable instance entry"; "instance" => id,
-                    "cause" => %error, "offset" => %record.offset);
-                return;
-            }
+            Err(error) => return record_skip(context, id, &error, record.offset),
         },
     };
     log_change(context, id, change, record.offset);
 }
 
+/// Counts an entry that names no instance to use, and logs it from time to time.
+fn record_skip(context: &EdgeContext, id: &str, cause: &dyn Display, offset: StoreOffset) {
+    const MAX_LOGGED_BYTES: usize = 64;
+    context.metrics.skipped_entries.inc();
+    let Some(skipped) = context.skipped_entries.count(ClockTime::now()) else {
+        return;
+    };
+    let id = &id[..id.floor_char_boundary(MAX_LOGGED_BYTES)];
+    warn!(context.logger, "skipped instance entries"; "skipped" => skipped, "instance" => id,
+        "cause" => %cause, "offset" => %offset);
+}
+
 /// Logs a change of an instance's entry.
 pub(crate) fn log_change(
     context: &EdgeContext,
