Skip entries with names too long for the messages between hosts

Seen in the test: one entry with a data centre's name of 100 KB, which can be decoded, and the hosts of a data centre passed over their hub as silent.

Cause: hubs relay changed entries in the datagrams of their answers. One of that length cannot be sent, so a reporter gets no answer while it lacks the entry. All hosts of the data centre then act as hubs of their own for a time, and each further entry does it again.

Change: an entry names no instance if its id cannot stand in a header, the name of its service or data centre is empty or above 128 bytes, no instance can listen at its address, or it has no slots or above 65,536. Entries of the store, of answers and of whole lists are checked alike, since a host of the build before relays them. The largest sequence number, start time and warm-up are harmless and stay allowed.

Evidence: odd_entries_name_no_instance_and_the_others_hold::long failed before (a hub was passed over); ::largest passed before.

--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -27,6 +27,7 @@
 use crate::edge_context::EdgeContext;
 use crate::hub_rejection::HubRejection;
 use crate::listing_reader::log_change;
+use crate::listing_reader::skips_entry;
 use crate::peer_message::HostReport;
 use crate::peer_message::HubAnswer;
 use crate::peer_message::HubSummary;
@@ -318,6 +319,9 @@
     let mut table = context.instances.borrow_mut();
     for entry in std::mem::take(&mut answer.rows) {
         let relayed = entry.relayed(now);
+        if skips_entry(context, &relayed.listing, relayed.changed_offset) {
+            continue;
+        }
         let id = relayed.listing.id.clone();
         let offset = relayed.changed_offset;
         let change = table.apply_relayed(relayed, now);
--- a/crates/edge/src/listing_reader.rs
+++ b/crates/edge/src/listing_reader.rs
@@ -20,6 +20,7 @@
 use crocushoist_platform::StoreRecord;
 use crocushoist_platform::StoreTopic;
 use crocushoist_platform::decode_instance;
+use crocushoist_policy::InstanceListing;
 use crocushoist_policy::ListingChange;
 use crocushoist_policy::ReadSharing;
 use crocushoist_policy::StoreOffset;
@@ -208,6 +209,7 @@
             table.apply_removal(record.offset, id, lapse_until, now)
         }
         Some(value) => match decode_instance(id, value) {
+            Ok(listing) if skips_entry(context, &listing, record.offset) => return,
             Ok(listing) => {
                 let mut table = context.instances.borrow_mut();
                 table.apply_listing(record.offset, listing, now)
@@ -218,6 +220,19 @@
     log_change(context, id, change, record.offset);
 }
 
+/// Whether the entry `listing` names no instance to use, which is then counted and logged.
+pub(crate) fn skips_entry(
+    context: &EdgeContext,
+    listing: &InstanceListing,
+    offset: StoreOffset,
+) -> bool {
+    let fault = listing.fault();
+    if let Some(fault) = fault {
+        record_skip(context, &listing.id, &fault, offset);
+    }
+    fault.is_some()
+}
+
 /// Counts an entry that names no instance to use, and logs it from time to time.
 fn record_skip(context: &EdgeContext, id: &str, cause: &dyn Display, offset: StoreOffset) {
     const MAX_LOGGED_BYTES: usize = 64;
--- a/crates/edge/src/listing_snapshot.rs
+++ b/crates/edge/src/listing_snapshot.rs
@@ -17,6 +17,7 @@
 use crate::edge_context::EdgeContext;
 use crate::listing_reader::RELISTING_WINDOW_MS;
 use crate::listing_reader::log_change;
+use crate::listing_reader::skips_entry;
 use crate::peer_message::WireListing;
 use crate::peer_message::WireOffset;
 
@@ -62,7 +63,10 @@
         let end_offset = StoreOffset::from(self.end_offset);
         context.learn_era(end_offset.era, now);
         let entries = self.entries.into_iter().map(|entry| entry.relayed(now));
-        let entries: Vec<_> = entries.collect();
+        // A host of an earlier build may have entries that this one skips.
+        let entries: Vec<_> = entries
+            .filter(|entry| !skips_entry(context, &entry.listing, entry.changed_offset))
+            .collect();
         let instances = entries.len();
         let (is_whole, changes) = {
             let mut table = context.instances.borrow_mut();
