Skip entries whose address belongs to a host of the fleet

Seen by callers in the test: three entries with addresses of hosts among those of four instances, and 3 or 4 of 160 bookings were answered 502.

Cause: the host sent bookings to itself or to another host, which takes them for a caller's without a key. Its response has no id of the attempt, so the booking may have been executed and is not sent again. On a route without keys it would have been forwarded again, up to its deadline.

Change: an entry at which a registered host serves callers or other hosts names no instance.

--- a/crates/edge/src/listing_reader.rs
+++ b/crates/edge/src/listing_reader.rs
@@ -8,6 +8,7 @@
 //! to write their entries again.
 
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use compio::time::sleep;
@@ -22,6 +23,7 @@
 use crocushoist_platform::decode_instance;
 use crocushoist_policy::InstanceListing;
 use crocushoist_policy::ListingChange;
+use crocushoist_policy::ListingFault;
 use crocushoist_policy::ReadSharing;
 use crocushoist_policy::StoreOffset;
 use crocushoist_policy::StoreReadPacer;
@@ -226,13 +228,25 @@
     listing: &InstanceListing,
     offset: StoreOffset,
 ) -> bool {
-    let fault = listing.fault();
+    let fault = listing
+        .fault()
+        .or_else(|| is_host_address(context, listing.address).then_some(ListingFault::HostAddress));
     if let Some(fault) = fault {
         record_skip(context, &listing.id, &fault, offset);
     }
     fault.is_some()
 }
 
+/// Whether a host of the fleet serves callers or other hosts at `address`; a request that is sent
+/// there would come back as one of a caller.
+fn is_host_address(context: &EdgeContext, address: SocketAddr) -> bool {
+    let roster = context.roster.borrow();
+    let own_host = &context.own_host;
+    [own_host.caller_address, own_host.peer_address].contains(&address)
+        || roster.find(address).is_some()
+        || roster.find_caller_address(address).is_some()
+}
+
 /// Counts an entry that names no instance to use, and logs it from time to time.
 fn record_skip(context: &EdgeContext, id: &str, cause: &dyn Display, offset: StoreOffset) {
     const MAX_LOGGED_BYTES: usize = 64;
--- a/crates/policy/src/listing_fault.rs
+++ b/crates/policy/src/listing_fault.rs
@@ -31,6 +31,8 @@
     Address,
     /// it has no slots or too many
     Slots,
+    /// its address belongs to a host of the fleet
+    HostAddress,
 }
 
 impl InstanceListing {
