Remove registrations of hosts that were silent for ten minutes

Change: the hub of a data centre removes the registration of a host that it has not heard for ten minutes ([bounds] forget-hosts-s), one a second at most. It counts only time in which it ran itself, and judges only while it hears of no other hub in its data centre and some other host reaches it, so that a suspended or isolated hub, or one of two that act, removes nobody. It probes a host before.

A removal must not last for a host that is alive: it stays in the order of each host that heard it in the last 10 s, its hub tells it to register again, and a hub reads its own removal within 3 s. Hosts that are no hubs read the registrations again after ten minutes, and a whole read drops those that the store lacks, unless the era changed.

Evidence: registrations_of_lost_hosts_are_removed_and_those_of_live_ones_come_back (a killed hub, a killed follower and a suspended one of six) has nothing to pass on before: no code removed any.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -121,8 +121,10 @@
     pub(crate) era_watch: Cell<EraWatch>,
     /// Newest era in which the store holds the registration of this host.
     pub(crate) registered_era: Cell<StoreEra>,
-    /// Whether the store lost the registration of this host.
+    /// Whether the store lost the registration of this host, or it was removed.
     pub(crate) registration_lost: Cell<bool>,
+    /// When this host last registered.
+    pub(crate) registered_at: Cell<Option<ClockTime>>,
     /// Configuration in force.
     pub(crate) config: RefCell<Option<Rc<DeploymentConfig>>>,
     /// Limits of the configuration in force.
@@ -170,8 +172,8 @@
     pub(crate) is_counted: Cell<bool>,
     /// Why another hub must be chosen although the current one answers.
     pub(crate) hub_rejection: Cell<Option<HubRejection>>,
-    /// Host that a follower named as its hub, to be probed if it is suspected.
-    pub(crate) named_hub: Cell<Option<SocketAddr>>,
+    /// Hosts to be probed in the next round.
+    pub(crate) hosts_to_probe: RefCell<Vec<SocketAddr>>,
     /// Hosts that report to the hub of this host, as it told; `None` if it did not.
     pub(crate) hub_reporters: Cell<Option<usize>>,
     /// Whether any registration was read. Before that, this host's part of a limit is unknown.
@@ -240,6 +242,7 @@
             era_watch: Cell::default(),
             registered_era: Cell::default(),
             registration_lost: Cell::new(false),
+            registered_at: Cell::new(None),
             config: RefCell::default(),
             limit_index: RefCell::default(),
             evidence: RefCell::default(),
@@ -263,7 +266,7 @@
             is_hub: Cell::new(false),
             is_counted: Cell::new(false),
             hub_rejection: Cell::new(None),
-            named_hub: Cell::new(None),
+            hosts_to_probe: RefCell::default(),
             hub_reporters: Cell::new(None),
             knows_hosts: Cell::new(false),
             roster_read_requested: Cell::new(true),
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -25,7 +25,7 @@
 const ALLOWED_LEVELS: &str = "error, warning, info or debug";
 
 /// Every setting: section, name, default value, allowed values.
-pub const DECLARED_SETTINGS: [DeclaredSetting; 18] = [
+pub const DECLARED_SETTINGS: [DeclaredSetting; 19] = [
     ("host", "name", None, ALLOWED_NAME),
     ("host", "data-centre", None, ALLOWED_NAME),
     ("host", "callers", None, ALLOWED_ADDRESS),
@@ -43,6 +43,7 @@
     ("bounds", "limit-slack", Some("20"), ALLOWED_COUNT),
     ("bounds", "address-ttl-s", Some("5"), ALLOWED_SECONDS),
     ("bounds", "grace-s", Some("6"), ALLOWED_SECONDS),
+    ("bounds", "forget-hosts-s", Some("600"), ALLOWED_SECONDS),
     ("log", "level", Some("info"), ALLOWED_LEVELS),
 ];
 
@@ -83,6 +84,8 @@
     pub address_ttl_ms: u64,
     /// Milliseconds from the stop signal to the end of the process.
     pub grace_ms: u64,
+    /// Milliseconds of silence after which the registration of a host is removed.
+    pub forget_hosts_ms: u64,
     /// Minimum level of logged lines.
     pub log_level: slog::Level,
 }
@@ -137,6 +140,7 @@
         });
         let address_ttl_ms = reader.parse_with("bounds", "address-ttl-s", parse_seconds_to_ms);
         let grace_ms = reader.parse_with("bounds", "grace-s", parse_seconds_to_ms);
+        let forget_hosts_ms = reader.parse_with("bounds", "forget-hosts-s", parse_seconds_to_ms);
         let log_level = reader.parse_with("log", "level", parse_log_level);
         Some(EdgeSettings {
             name: name?,
@@ -156,6 +160,7 @@
             limit_slack: limit_slack?,
             address_ttl_ms: address_ttl_ms?,
             grace_ms: grace_ms?,
+            forget_hosts_ms: forget_hosts_ms?,
             log_level: log_level?,
         })
     }
--- a/crates/edge/src/hub_exchange.rs
+++ b/crates/edge/src/hub_exchange.rs
@@ -259,7 +259,7 @@
         must_register: context
             .roster
             .borrow()
-            .is_lost(reporter, context.era_watch.get().era()),
+            .must_register(reporter, context.era_watch.get().era()),
         shares: shares.map(|shares| {
             let in_thousandths = |(workspace, share)| (workspace, (share * THOUSANDTHS) as u16);
             shares.into_iter().map(in_thousandths).collect()
@@ -345,8 +345,13 @@
         // registration this host has not read yet.
         match answer.hub.take() {
             Some(hub) => {
-                context.named_hub.set(Some(hub.peer_address()));
-                hub.apply(&mut context.roster.borrow_mut());
+                let mut roster = context.roster.borrow_mut();
+                // A suspected host that another one follows is probably alive.
+                if roster.is_suspected(hub.peer_address()) {
+                    let mut hosts = context.hosts_to_probe.borrow_mut();
+                    hosts.push(hub.peer_address());
+                }
+                hub.apply(&mut roster);
             }
             None => context.roster_read_requested.set(true),
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod instance_attempt;
 mod listing_reader;
 mod listing_snapshot;
+mod lost_hosts;
 mod notes_exchange;
 mod path_observer;
 mod path_prober;
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -298,12 +298,7 @@
             }
             return search.next_batch(&candidates);
         }
-        // A suspected host that another one follows is probably alive.
-        let named = self.context.named_hub.take();
-        let mut hosts: Vec<SocketAddr> = named
-            .into_iter()
-            .filter(|named| roster.is_suspected(*named))
-            .collect();
+        let mut hosts = self.context.hosts_to_probe.take();
         if let Some(hub) = hub
             && round.is_multiple_of(ROUNDS_PER_SUSPECT)
         {
@@ -492,7 +487,7 @@
     /// Applies a message from `peer` with its notes, and answers a report.
     async fn handle_message(&self, peer: SocketAddr, message: PeerMessage, notes: &PeerNotes) {
         let now = ClockTime::now();
-        self.context.roster.borrow_mut().clear_suspicion(peer, now);
+        self.context.roster.borrow_mut().record_message(peer, now);
         match message {
             // This host does not know the other hosts or the limits, so the shares that it
             // assigns could exceed the limits together with those of other hubs. Without an
--- a/crates/edge/src/roster_sync.rs
+++ b/crates/edge/src/roster_sync.rs
@@ -3,7 +3,8 @@
 //! A host reads the registrations at its start, and registers unless an earlier
 //! start did. It reads them again when it knows no host that can be hub. A hub
 //! reads them regularly, so that it leaves the role to a host that comes before
-//! it and registers later, and tells its hosts. The near-full window records are
+//! it and registers later, and tells its hosts. Other hosts read them from time
+//! to time, to drop those that were removed. The near-full window records are
 //! in the same topic and are read with the registrations.
 //!
 //! When the store came back from a copy, hubs read all registrations again, and
@@ -37,6 +38,7 @@
 use crate::edge_context::EdgeContext;
 use crate::edge_context::STORE_TIMEOUT_MS;
 use crate::edge_context::SharedContext;
+use crate::lost_hosts::LostHosts;
 
 /// Milliseconds between checks whether the registrations must be read.
 const CHECK_INTERVAL_MS: u64 = 250;
@@ -52,6 +54,10 @@
 /// Minimum milliseconds between later reads, also after a failure.
 const MIN_READ_INTERVAL_MS: u64 = 2_000;
 
+/// Minimum milliseconds from one registration to the next in the same era; a hub that cannot read
+/// the store asks for it again and again.
+const REGISTER_AGAIN_MS: u64 = 10_000;
+
 /// Milliseconds over which hosts spread the registrations that the store lost; 300 hosts stay
 /// below half of the writes that the platform allows.
 const REGISTRATION_SPREAD_MS: u64 = 2_000;
@@ -81,13 +87,15 @@
     let mut since_read_ms = HUB_READ_INTERVAL_MS - STARTUP_SETTLE_MS;
     let mut register_at: Option<ClockTime> = None;
     let mut recorded = RecordedEra::default();
+    let mut lost_hosts = LostHosts::default();
     loop {
         let era = context.newest_era.get();
         let is_other_era = next_offset.is_some_and(|offset| offset.era != era);
         if is_other_era && context.is_hub.get() {
             next_offset = None;
         }
-        let is_due = context.is_hub.get() && since_read_ms >= HUB_READ_INTERVAL_MS;
+        let is_due = (context.is_hub.get() && since_read_ms >= HUB_READ_INTERVAL_MS)
+            || since_read_ms >= context.settings.forget_hosts_ms;
         let is_requested =
             context.roster_read_requested.get() && since_read_ms >= MIN_READ_INTERVAL_MS;
         if is_requested || next_offset.is_none() || is_due {
@@ -109,6 +117,7 @@
             request_era_record(&context, &mut recorded);
             write_window_record(&context, &mut client, &mut recorded).await;
         }
+        lost_hosts.remove_one(&context, &mut client).await;
         record_caught_up(&context, next_offset);
         sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
         since_read_ms += CHECK_INTERVAL_MS;
@@ -139,15 +148,18 @@
     }
 }
 
-/// Writes the registration of this host again if the store lost it, after a random time.
+/// Writes the registration of this host again if the store lost it or it was removed, after a
+/// random time.
 async fn register_if_lost(
     context: &EdgeContext,
     client: &mut StoreClient,
     register_at: &mut Option<ClockTime>,
 ) {
     let now = ClockTime::now();
-    if !context.registration_lost.get() || context.registered_era.get() == context.newest_era.get()
-    {
+    let registered_at = context.registered_at.get().unwrap_or(context.started_at);
+    let is_stored = context.registered_era.get() == context.newest_era.get()
+        && now.since(registered_at) <= REGISTER_AGAIN_MS;
+    if !context.registration_lost.get() || is_stored {
         *register_at = None;
         return;
     }
@@ -228,6 +240,7 @@
             Ok(offset) => {
                 info!(context.logger, "registered"; "offset" => %offset);
                 context.registered_era.set(offset.era);
+                context.registered_at.set(Some(ClockTime::now()));
                 context
                     .roster
                     .borrow_mut()
@@ -257,21 +270,28 @@
     let Some((records, next_offset)) = outcome? else {
         return Ok(None);
     };
-    let mut is_other_era = false;
-    if from.is_none() {
+    let own_address = context.own_host.peer_address;
+    let now = ClockTime::now();
+    let era_before = {
         let mut roster = context.roster.borrow_mut();
-        let era_before = roster.begin_full_read(next_offset.era);
-        is_other_era = era_before.is_known() && era_before != next_offset.era;
-    }
+        // This host is alive, whatever the store holds.
+        roster.record_message(own_address, now);
+        from.is_none()
+            .then(|| roster.begin_full_read(next_offset.era))
+    };
+    let is_other_era =
+        era_before.is_some_and(|before| before.is_known() && before != next_offset.era);
     apply_records(context, &records);
-    let own_address = context.own_host.peer_address;
-    if context
-        .roster
-        .borrow()
-        .is_lost(own_address, next_offset.era)
-    {
-        context.registration_lost.set(true);
-    } else if next_offset.era == context.newest_era.get() {
+    if let Some(era_before) = era_before {
+        let mut roster = context.roster.borrow_mut();
+        roster.end_full_read(era_before, now);
+    }
+    let must_register = {
+        let roster = context.roster.borrow();
+        roster.must_register(own_address, next_offset.era)
+    };
+    context.registration_lost.set(must_register);
+    if !must_register && next_offset.era == context.newest_era.get() {
         context.registered_era.set(next_offset.era);
     }
     // The records say what was admitted before a start, not before a change of the era.
@@ -415,7 +435,7 @@
         }
         let Some(value) = &record.value else {
             if let Ok(caller_address) = record.key.parse() {
-                roster.remove(record.offset, caller_address);
+                roster.remove(record.offset, caller_address, ClockTime::now());
             }
             continue;
         };
--- a/crates/policy/src/host_roster.rs
+++ b/crates/policy/src/host_roster.rs
@@ -8,6 +8,9 @@
 //! A suspected host stays suspected until a message from it arrives, however long that takes: a
 //! host that was lost for good stays registered, and must not be tried again and again. A host
 //! that is alive and comes first acts as hub by itself and announces that to the others.
+//!
+//! The registration of a host that was lost may be removed from the store. A host from which a
+//! message arrived a short time ago stays in the order all the same, and registers again.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -22,6 +25,10 @@
 use crate::StoreEra;
 use crate::StoreOffset;
 
+/// Milliseconds after a message of a host for which it stays in the order although its
+/// registration was removed.
+const SIGN_OF_LIFE_MS: u64 = 10_000;
+
 /// Milliseconds for which a reachable candidate is skipped that cannot serve as a hub.
 const UNFIT_MS: u64 = 6_000;
 
@@ -67,6 +74,10 @@
     read_era: StoreEra,
     /// Hosts whose registrations the store holds in that era.
     stored: HashSet<SocketAddr>,
+    /// Hosts that are alive although their registrations were removed.
+    removed_alive: HashSet<SocketAddr>,
+    /// Times of the last messages, by peer address.
+    heard_at: HashMap<SocketAddr, ClockTime>,
 }
 
 impl HostRoster {
@@ -76,18 +87,36 @@
         std::mem::replace(&mut self.read_era, era)
     }
 
+    /// Ends a read of all registrations. Drops those that the store does not hold, unless the read
+    /// before was of another era: then a copy may have lost them.
+    pub fn end_full_read(&mut self, era_before: StoreEra, now: ClockTime) {
+        if era_before != self.read_era {
+            return;
+        }
+        let absent = self.registrations.keys().copied();
+        let absent: Vec<SocketAddr> = absent
+            .filter(|address| !self.stored.contains(address))
+            .collect();
+        for address in absent {
+            self.drop_unless_heard(address, now);
+        }
+    }
+
     /// Adds the registration that the store holds at `offset`, unless a later one is known.
     pub fn apply_stored(&mut self, offset: StoreOffset, registration: HostRegistration) {
+        self.removed_alive.remove(&registration.peer_address);
         if offset.era == self.read_era {
             self.stored.insert(registration.peer_address);
         }
         self.apply_registration(offset, registration);
     }
 
-    /// Whether the store lost the registration of the host at `peer_address` in `era`, as far as
-    /// this host read it in that era.
-    pub fn is_lost(&self, peer_address: SocketAddr, era: StoreEra) -> bool {
-        era.is_known() && self.read_era == era && !self.stored.contains(&peer_address)
+    /// Whether the host at `peer_address` must register again: its registration was removed, or the
+    /// store lost it in `era`, as far as this host read it in that era.
+    pub fn must_register(&self, peer_address: SocketAddr, era: StoreEra) -> bool {
+        let is_lost =
+            era.is_known() && self.read_era == era && !self.stored.contains(&peer_address);
+        is_lost || self.removed_alive.contains(&peer_address) || self.find(peer_address).is_none()
     }
 
     /// Adds the registration read at `offset`, unless a later one is known.
@@ -107,11 +136,51 @@
             .insert(registration.peer_address, (offset, registration));
     }
 
-    /// Removes the host that callers reach at `caller_address`, which deregistered at `offset`.
-    pub fn remove(&mut self, offset: StoreOffset, caller_address: SocketAddr) {
-        self.registrations.retain(|_, (at, registration)| {
-            registration.caller_address != caller_address || !offset.supersedes(*at)
-        });
+    /// Removes the host that callers reach at `caller_address`, whose registration was removed at
+    /// `offset`, unless a message from it arrived a short time ago.
+    pub fn remove(&mut self, offset: StoreOffset, caller_address: SocketAddr, now: ClockTime) {
+        let registrations = self.registrations.iter();
+        let removed: Vec<SocketAddr> = registrations
+            .filter(|(_, (at, host))| {
+                host.caller_address == caller_address && offset.supersedes(*at)
+            })
+            .map(|(address, _)| *address)
+            .collect();
+        for address in removed {
+            self.stored.remove(&address);
+            self.drop_unless_heard(address, now);
+        }
+    }
+
+    /// Drops the host at `address`, or remembers that it must register again if it is alive.
+    fn drop_unless_heard(&mut self, address: SocketAddr, now: ClockTime) {
+        let heard_at = self.heard_at(address);
+        if heard_at.is_some_and(|at| now.since(at) <= SIGN_OF_LIFE_MS) {
+            self.removed_alive.insert(address);
+            return;
+        }
+        self.forget(address);
+    }
+
+    /// Drops the host at `peer_address`.
+    pub fn forget(&mut self, peer_address: SocketAddr) {
+        self.registrations.remove(&peer_address);
+        self.suspects.remove(&peer_address);
+        self.unfit.remove(&peer_address);
+        self.stored.remove(&peer_address);
+        self.removed_alive.remove(&peer_address);
+        self.heard_at.remove(&peer_address);
+    }
+
+    /// Records that a message of the host at `peer_address` arrived.
+    pub fn record_message(&mut self, peer_address: SocketAddr, now: ClockTime) {
+        self.heard_at.insert(peer_address, now);
+        self.clear_suspicion(peer_address, now);
+    }
+
+    /// Time of the last message of the host at `peer_address`.
+    pub fn heard_at(&self, peer_address: SocketAddr) -> Option<ClockTime> {
+        self.heard_at.get(&peer_address).copied()
     }
 
     /// Skips the silent host at `peer_address` as a hub until a message from it arrives.
--- a/crates/policy/tests/hubs.rs
+++ b/crates/policy/tests/hubs.rs
@@ -242,9 +242,9 @@
     roster.apply_registration(offset(5), registration(1, "north"));
     roster.apply_registration(offset(3), registration(1, "south"));
     assert!(roster.hub_of("south", at(0)).is_none());
-    roster.remove(offset(4), registration(1, "north").caller_address);
+    roster.remove(offset(4), registration(1, "north").caller_address, at(0));
     assert_eq!(roster.len(), 1);
-    roster.remove(offset(6), registration(1, "north").caller_address);
+    roster.remove(offset(6), registration(1, "north").caller_address, at(0));
     assert!(roster.is_empty());
 }
 
