Give the search for live hosts a room of its own

Moves the choice of hosts to probe from the datagram task into host_search.rs; the behaviour is the same, but for the start of the interval after which an unanswered search begins again, which now counts from the last answer of the hub.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod edge_refusal;
 mod forward_head;
 mod graceful_stop;
+mod host_search;
 mod hub_exchange;
 mod hub_rejection;
 mod in_flight_guard;
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -5,10 +5,7 @@
 //! answer shows that it is stopping or that its instance list is behind this
 //! host's own, is skipped and the next host is chosen.
 //!
-//! While a hub is silent, the host probes those that may follow it, so that the
-//! time until it has a hub does not grow with the number of lost hosts. Suspected
-//! hosts that would come before the hub are probed from time to time, and so are
-//! hosts of a data centre whose hub is not known.
+//! Hosts are probed for a sign of life, see [`crate::host_search`].
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -17,7 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use compio::BufResult;
 use compio::net::UdpSocket;
 use compio::time::sleep;
@@ -26,10 +22,13 @@
 
 use crocushoist_policy::CounterSelection;
 use crocushoist_policy::FeedCursor;
-use crocushoist_policy::HubSearch;
 use crocushoist_state::ClockTime;
 
 use crate::edge_context::SharedContext;
+use crate::host_search::HostSearch;
+use crate::host_search::hosts_without_reachable_hub;
+use crate::host_search::remote_hosts_to_probe;
+use crate::host_search::suspect_to_probe;
 use crate::hub_exchange::apply_answer;
 use crate::hub_exchange::apply_assignments;
 use crate::hub_exchange::apply_report;
@@ -63,15 +62,6 @@
 /// Milliseconds without an answer after which a host begins to probe the others.
 const SEARCH_DELAY_MS: u64 = 250;
 
-/// Milliseconds after which a search that no host answered begins again.
-const SEARCH_INTERVAL_MS: u64 = 1_000;
-
-/// Number of report intervals from one probe of a suspected host to the next.
-const ROUNDS_PER_SUSPECT: u32 = 16;
-
-/// Number of hosts of a data centre without a known hub that are probed with each summary.
-const REMOTE_PROBES_PER_SUMMARY: usize = 8;
-
 /// Number of summaries from one that lists the hosts of the data centre to the next.
 const SUMMARIES_PER_HOST_LIST: u32 = 2;
 
@@ -118,8 +108,8 @@
     reports: RefCell<SentReports>,
     /// Incarnations of the hubs that sent a summary.
     hub_incarnations: RefCell<HashMap<SocketAddr, u64>>,
-    /// Search for a live host while the hub is silent, and when it began.
-    search: RefCell<(HubSearch, ClockTime)>,
+    /// Search for a live host while the hub is silent.
+    search: RefCell<HostSearch>,
     /// Counters of the summaries, by recipient.
     summary_selections: RefCell<HashMap<SocketAddr, CounterSelection>>,
     /// Positions of the reporters in the feed of estimates.
@@ -219,10 +209,8 @@
         let data_centre = &self.context.own_host.data_centre;
         let mut roster = self.context.roster.borrow_mut();
         let mut reports = self.reports.borrow_mut();
-        let is_silent = reports.silence_ms(now) > HUB_TIMEOUT_MS && {
-            let candidates = roster.candidates(data_centre, own_address, now);
-            self.search.borrow().0.is_settled(&candidates)
-        };
+        let is_silent = reports.silence_ms(now) > HUB_TIMEOUT_MS
+            && self.search.borrow().is_settled(&self.context, &roster, now);
         let rejection = self.context.hub_rejection.take();
         if (is_silent || rejection.is_some())
             && let Some(hub) = reports.hub.take()
@@ -231,12 +219,8 @@
                 Some(HubRejection::Stopping) => roster.mark_stopping(hub, now),
                 Some(HubRejection::Behind) => roster.mark_unfit(hub, now),
                 None => {
-                    let candidates = roster.candidates(data_centre, own_address, now);
-                    let search = &self.search.borrow().0;
-                    for silent in search.silent_candidates(&candidates) {
-                        roster.suspect(silent);
-                    }
-                    roster.suspect(hub);
+                    let search = self.search.borrow();
+                    search.suspect_silent(&self.context, &mut roster, hub, now);
                 }
             }
             reports.unanswered_since = None;
@@ -258,7 +242,7 @@
             info!(self.context.logger, "hub chosen";
                 "hub" => hub.map(|hub| hub.to_string()), "hosts" => roster.len(),
                 "suspected" => roster.suspect_count());
-            *self.search.borrow_mut() = (HubSearch::default(), now);
+            self.search.borrow_mut().restart(now);
             *reports = SentReports {
                 hub,
                 number: reports.number,
@@ -285,27 +269,12 @@
         if !self.context.knows_hosts.get() {
             return Vec::new();
         }
-        let own_address = self.context.own_host.peer_address;
-        let data_centre = &self.context.own_host.data_centre;
-        let roster = self.context.roster.borrow();
         let silence_ms = self.reports.borrow().silence_ms(now);
-        if hub.is_none() || silence_ms > SEARCH_DELAY_MS {
-            let candidates = roster.candidates(data_centre, own_address, now);
-            let (search, began_at) = &mut *self.search.borrow_mut();
-            if search.is_settled(&candidates) && now.since(*began_at) > SEARCH_INTERVAL_MS {
-                *search = HubSearch::default();
-                *began_at = now;
-            }
-            return search.next_batch(&candidates);
-        }
+        let Some(hub) = hub.filter(|_| silence_ms <= SEARCH_DELAY_MS) else {
+            return self.search.borrow_mut().next_batch(&self.context, now);
+        };
         let mut hosts = self.context.hosts_to_probe.take();
-        if let Some(hub) = hub
-            && round.is_multiple_of(ROUNDS_PER_SUSPECT)
-        {
-            let suspects = roster.suspects_before(data_centre, hub, now);
-            let index = (round / ROUNDS_PER_SUSPECT) as usize % suspects.len().max(1);
-            hosts.extend(suspects.get(index));
-        }
+        hosts.extend(suspect_to_probe(&self.context, hub, round, now));
         hosts
     }
 
@@ -395,7 +364,7 @@
             let mut aggregator = self.context.aggregator.borrow_mut();
             (aggregator.take_outcomes(), aggregator.take_service_counts())
         };
-        for host in self.remote_hosts_to_probe(number, now) {
+        for host in remote_hosts_to_probe(&self.context, number, now) {
             self.probe(host).await;
         }
         for hub in self.all_summary_recipients(number, now) {
@@ -418,37 +387,6 @@
         }
     }
 
-    /// Hosts of other data centres of which this hub hears no hub, in their order as hubs.
-    fn hosts_without_reachable_hub(&self, now: ClockTime) -> Vec<Vec<SocketAddr>> {
-        let roster = self.context.roster.borrow();
-        let reachable_hubs = self.context.aggregator.borrow().reachable_hubs(now);
-        let is_reachable = |data_centre: &CompactString| {
-            let mut hubs = reachable_hubs.iter();
-            hubs.any(|(_, hub_centre)| hub_centre == data_centre)
-        };
-        let data_centres = roster.data_centres().into_iter();
-        data_centres
-            .filter(|data_centre| *data_centre != self.context.own_host.data_centre)
-            .filter(|data_centre| !is_reachable(data_centre))
-            .map(|data_centre| {
-                let hosts = roster.hosts_in(&data_centre);
-                hosts.map(|host| host.peer_address).collect()
-            })
-            .collect()
-    }
-
-    /// Some hosts in turn of each data centre without a reachable hub; one that is alive names its
-    /// hub.
-    fn remote_hosts_to_probe(&self, round: u32, now: ClockTime) -> Vec<SocketAddr> {
-        let mut probed = Vec::new();
-        for hosts in self.hosts_without_reachable_hub(now) {
-            let first = round as usize * REMOTE_PROBES_PER_SUMMARY;
-            let count = REMOTE_PROBES_PER_SUMMARY.min(hosts.len());
-            probed.extend((first..first + count).map(|index| hosts[index % hosts.len()]));
-        }
-        probed
-    }
-
     /// Recipients of a summary: hubs that sent or were named in a recent message, the hub of this
     /// host, and for each data centre without a reachable hub one of its first hosts in turn.
     fn all_summary_recipients(&self, round: u32, now: ClockTime) -> Vec<SocketAddr> {
@@ -456,7 +394,7 @@
         let own_host = &self.context.own_host;
         let mut hubs = self.context.aggregator.borrow().summary_recipients(now);
         hubs.extend(self.reports.borrow().hub);
-        for hosts in self.hosts_without_reachable_hub(now) {
+        for hosts in hosts_without_reachable_hub(&self.context, now) {
             let index = round as usize % MAX_CANDIDATES.min(hosts.len()).max(1);
             hubs.extend(hosts.get(index));
         }
@@ -514,7 +452,7 @@
                     .await;
             }
             PeerMessage::Answer(answer) => {
-                if let Some(sent_at) = self.match_answer(peer, answer.number) {
+                if let Some(sent_at) = self.match_answer(peer, answer.number, now) {
                     apply_answer_notes(&self.context, peer, answer.number, notes, sent_at, now);
                     apply_answer(&self.context, peer, answer, sent_at, now);
                 }
@@ -531,7 +469,7 @@
                 self.send_to(peer, &answer, &PeerNotes::default()).await;
             }
             PeerMessage::ProbeAnswer(answer) => {
-                self.search.borrow_mut().0.record_answer(peer);
+                self.search.borrow_mut().record_answer(peer);
                 if self.is_remote(peer) {
                     let mut aggregator = self.context.aggregator.borrow_mut();
                     aggregator.add_named_hubs(answer.hub.as_slice(), now);
@@ -556,7 +494,7 @@
     }
 
     /// When the report with `number` was sent, `None` if it went to another hub or is too old.
-    fn match_answer(&self, peer: SocketAddr, number: u32) -> Option<ClockTime> {
+    fn match_answer(&self, peer: SocketAddr, number: u32, now: ClockTime) -> Option<ClockTime> {
         let mut reports = self.reports.borrow_mut();
         if reports.hub != Some(peer) {
             return None;
@@ -568,7 +506,7 @@
         let sent_at = sent.map(|(_, at)| *at)?;
         reports.unanswered_since = None;
         reports.has_answer = true;
-        self.search.borrow_mut().0 = HubSearch::default();
+        self.search.borrow_mut().restart(now);
         Some(sent_at)
     }
 
