--- a/crates/edge/src/listing_reader.rs
+++ b/crates/edge/src/listing_reader.rs
@@ -232,7 +232,7 @@
         .fault()
         .or_else(|| is_host_address(context, listing.address).then_some(ListingFault::HostAddress));
     if let Some(fault) = fault {
-        record_skip(context, &listing.id, &fault, offset);
+        record_skip(context, &listing.id, &fault.cause(), offset);
     }
     fault.is_some()
 }
--- a/crates/policy/src/listing_fault.rs
+++ b/crates/policy/src/listing_fault.rs
@@ -5,8 +5,6 @@
 //! kilobytes does not fit in the datagrams by which hosts relay entries, and a
 //! hub that cannot send its answers is taken for lost.
 
-use displaydoc::Display;
-
 use crate::InstanceListing;
 
 /// Maximum bytes of a service's or a data centre's name.
@@ -19,22 +17,36 @@
 const MAX_SLOTS: u32 = 65_536;
 
 /// Why an entry names no instance to use.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListingFault {
-    /// its id cannot stand in a header
+    /// Its id cannot stand in a header.
     Id,
-    /// its service's name is empty or too long
+    /// The name of its service is empty or too long.
     Service,
-    /// its data centre's name is empty or too long
+    /// The name of its data centre is empty or too long.
     DataCentre,
-    /// no instance can listen at its address
+    /// No instance can listen at its address.
     Address,
-    /// it has no slots or too many
+    /// It has no slots or too many.
     Slots,
-    /// its address belongs to a host of the fleet
+    /// Its address belongs to a host of the fleet.
     HostAddress,
 }
 
+impl ListingFault {
+    /// Cause in logs.
+    pub fn cause(self) -> &'static str {
+        match self {
+            ListingFault::Id => "its id cannot stand in a header",
+            ListingFault::Service => "the name of its service is empty or too long",
+            ListingFault::DataCentre => "the name of its data centre is empty or too long",
+            ListingFault::Address => "no instance can listen at its address",
+            ListingFault::Slots => "it has no slots or too many",
+            ListingFault::HostAddress => "its address belongs to a host of the fleet",
+        }
+    }
+}
+
 impl InstanceListing {
     /// Fault of the entry, as far as it shows without knowledge of the fleet.
     pub fn fault(&self) -> Option<ListingFault> {
