--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -22,10 +22,15 @@
 const ALLOWED_FLAG: &str = "true or false";
 const ALLOWED_CORES: &str = "cores, a number from 0.01 to 1000";
 const ALLOWED_MBPS: &str = "Mbit/s, a number from 0.1 to 1000000";
+const ALLOWED_MEMORY: &str = "MB, a whole number from 24 to 1000000";
+const ALLOWED_CONNECTIONS: &str = "a whole number from 8 to 100000";
 const ALLOWED_LEVELS: &str = "error, warning, info or debug";
 
+/// Bytes of a megabyte in the settings.
+const BYTES_PER_MB: u64 = 1_024 * 1_024;
+
 /// Every setting: section, name, default value, allowed values.
-pub const DECLARED_SETTINGS: [DeclaredSetting; 19] = [
+pub const DECLARED_SETTINGS: [DeclaredSetting; 22] = [
     ("host", "name", None, ALLOWED_NAME),
     ("host", "data-centre", None, ALLOWED_NAME),
     ("host", "callers", None, ALLOWED_ADDRESS),
@@ -44,6 +49,19 @@
     ("bounds", "address-ttl-s", Some("5"), ALLOWED_SECONDS),
     ("bounds", "grace-s", Some("6"), ALLOWED_SECONDS),
     ("bounds", "forget-hosts-s", Some("600"), ALLOWED_SECONDS),
+    ("limits", "memory-mb", Some("260"), ALLOWED_MEMORY),
+    (
+        "limits",
+        "caller-connections",
+        Some("1300"),
+        ALLOWED_CONNECTIONS,
+    ),
+    (
+        "limits",
+        "auxiliary-connections",
+        Some("400"),
+        ALLOWED_CONNECTIONS,
+    ),
     ("log", "level", Some("info"), ALLOWED_LEVELS),
 ];
 
@@ -86,6 +104,12 @@
     pub grace_ms: u64,
     /// Milliseconds of silence after which the registration of a host is removed.
     pub forget_hosts_ms: u64,
+    /// Memory in bytes that the process may use.
+    pub memory_bytes: u64,
+    /// Maximum open connections of callers.
+    pub caller_connections: usize,
+    /// Maximum open connections on each auxiliary address.
+    pub auxiliary_connections: usize,
     /// Minimum level of logged lines.
     pub log_level: slog::Level,
 }
@@ -141,6 +165,15 @@
         let address_ttl_ms = reader.parse_with("bounds", "address-ttl-s", parse_seconds_to_ms);
         let grace_ms = reader.parse_with("bounds", "grace-s", parse_seconds_to_ms);
         let forget_hosts_ms = reader.parse_with("bounds", "forget-hosts-s", parse_seconds_to_ms);
+        let memory_mb = reader.parse_with("limits", "memory-mb", |text| {
+            parse_in_range(text, 24, 1_000_000)
+        });
+        let caller_connections = reader.parse_with("limits", "caller-connections", |text| {
+            parse_in_range(text, 8, 100_000)
+        });
+        let auxiliary_connections = reader.parse_with("limits", "auxiliary-connections", |text| {
+            parse_in_range(text, 8, 100_000)
+        });
         let log_level = reader.parse_with("log", "level", parse_log_level);
         Some(EdgeSettings {
             name: name?,
@@ -161,6 +194,9 @@
             address_ttl_ms: address_ttl_ms?,
             grace_ms: grace_ms?,
             forget_hosts_ms: forget_hosts_ms?,
+            memory_bytes: memory_mb? * BYTES_PER_MB,
+            caller_connections: caller_connections? as usize,
+            auxiliary_connections: auxiliary_connections? as usize,
             log_level: log_level?,
         })
     }
