Bound the buffers of a connection and the heads of requests

Callers saw a host run out of memory while other clients sent heads or empty lines without end, and a head of 20 KB was served although the operators allow 16 KB.

Cause: the HTTP library buffered up to 408 KB of a head and the stream below it as much again, at every listener and on each of up to 2,900 connections. MaxHeaderBytes was read from the configuration and applied nowhere.

Now a connection has buffers of a bounded size, and the library is given the limit for heads: MaxHeaderBytes for callers, 8 KB at the other listeners. A longer head is refused with 431 and what still arrives is thrown away, so the refusal reaches its sender. The bound is per connection and small enough that the connections of a full host fit into its memory. All listeners share one register of clients, which counts them and reports who is turned away: a metric, and one log line in 10 s.

--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -47,8 +47,8 @@
 use crate::edge_metrics::EdgeMetrics;
 use crate::edge_settings::EdgeSettings;
 use crate::hub_rejection::HubRejection;
+use crate::log_limiter::LogLimiter;
 use crate::request_progress::ProgressRegister;
-use crate::skip_log::SkipLog;
 
 /// Milliseconds after which a call to the store without a long poll fails.
 pub(crate) const STORE_TIMEOUT_MS: u64 = 1_000;
@@ -201,7 +201,9 @@
     /// When this host last logged that an instance sent an unreadable header.
     pub(crate) unreadable_signal_logged_at: Cell<Option<ClockTime>>,
     /// Entries of the instance list that were skipped.
-    pub(crate) skipped_entries: SkipLog,
+    pub(crate) skipped_entries: LogLimiter,
+    /// Clients that were turned away.
+    pub(crate) client_ends: LogLimiter,
     /// Start of the process.
     pub(crate) started_at: ClockTime,
     /// Start of the planned stop, `None` before it.
@@ -280,7 +282,8 @@
             answered_report_at: Cell::new(None),
             last_request_at: Cell::new(None),
             unreadable_signal_logged_at: Cell::new(None),
-            skipped_entries: SkipLog::default(),
+            skipped_entries: LogLimiter::default(),
+            client_ends: LogLimiter::default(),
             started_at: ClockTime::now(),
             stop_started_at: Cell::new(None),
             in_progress: Rc::default(),
--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -22,12 +22,15 @@
 
 use crocushoist_platform::names;
 use crocushoist_state::ClockTime;
+use crocushoist_transport::ClientEnd;
+use crocushoist_transport::ClientEntrance;
+use crocushoist_transport::ClientLimits;
+use crocushoist_transport::ClientRegister;
 use crocushoist_transport::ProcessSignal;
 use crocushoist_transport::ResponseBody;
 use crocushoist_transport::TransportError;
 use crocushoist_transport::listen_on;
-use crocushoist_transport::serve_http;
-use crocushoist_transport::serve_http_with_idle_limit;
+use crocushoist_transport::serve_clients;
 
 use crate::address_handler::answer_addresses;
 use crate::address_handler::answer_readiness;
@@ -47,9 +50,6 @@
 use crate::request_handler::handle_request;
 use crate::roster_sync::sync_roster;
 
-/// Maximum open connections of callers; a third of the file descriptors that a host may have.
-const MAX_CALLER_CONNECTIONS: usize = 1_300;
-
 /// Milliseconds for which an idle connection is kept at least, whatever the operators' limit is.
 const MIN_IDLE_LIMIT_MS: u64 = 30_000;
 
@@ -57,9 +57,26 @@
 /// was known.
 const UNKNOWN_IDLE_LIMIT_MS: u64 = 300_000;
 
+/// Maximum open connections of callers; a third of the file descriptors that a host may have.
+const MAX_CALLER_CONNECTIONS: usize = 1_300;
+
 /// Maximum open connections on each auxiliary address.
 const MAX_AUXILIARY_CONNECTIONS: usize = 400;
 
+/// Part of the memory of the process that clients share for bodies and responses.
+const CLIENT_POOL_DIVISOR: u64 = 4;
+
+/// Limits of the clients of the auxiliary listeners, whose requests have short heads.
+const AUXILIARY_LIMITS: ClientLimits = ClientLimits {
+    head_bytes: 8 * 1024,
+    head_ms: 5_000,
+    idle_ms: 30_000,
+    response_ms: 10_000,
+};
+
+/// Milliseconds in which a caller must have taken its response, longer than any deadline.
+const RESPONSE_LIMIT_MS: u64 = 60_000;
+
 /// Milliseconds between closing expired connections and updating gauges.
 const MAINTENANCE_INTERVAL_MS: u64 = 1_000;
 
@@ -115,22 +132,26 @@
         "callers" => context.own_host.caller_address.to_string(),
         "data_centre" => context.own_host.data_centre.as_str(),
         "incarnation" => format!("{:016x}", context.own_host.incarnation));
+    let shared = Rc::clone(&context);
+    let pool_bytes = context.settings.memory_bytes / CLIENT_POOL_DIVISOR;
+    let clients = ClientRegister::new(pool_bytes, move |end| note_client_end(&shared, end));
     let peer_tasks = PeerTasks::new(Rc::clone(&context), socket);
     spawn(Rc::clone(&peer_tasks).run_receiver());
     spawn(peer_tasks.run_sender());
     spawn(fetch_from_peers(Rc::clone(&context)));
     spawn(probe_paths(Rc::clone(&context)));
     let shared = Rc::clone(&context);
-    spawn(serve_http(
+    spawn(serve_clients(
         peers,
         Default::default(),
-        MAX_AUXILIARY_CONNECTIONS,
+        ClientEntrance::new(&clients, MAX_AUXILIARY_CONNECTIONS),
+        || AUXILIARY_LIMITS,
         move |_, request| handle_peer_request(Rc::clone(&shared), request),
     ));
     spawn(follow_config(Rc::clone(&context)));
     spawn(follow_listing(Rc::clone(&context)));
     spawn(sync_roster(Rc::clone(&context)));
-    spawn(run_maintenance(Rc::clone(&context)));
+    spawn(run_maintenance(Rc::clone(&context), clients.clone()));
     spawn(reload_on_signal(
         Rc::clone(&context),
         reload,
@@ -138,20 +159,21 @@
     ));
     for listener in [ready, directory, metrics] {
         let shared = Rc::clone(&context);
-        spawn(serve_http(
+        spawn(serve_clients(
             listener,
             Default::default(),
-            MAX_AUXILIARY_CONNECTIONS,
+            ClientEntrance::new(&clients, MAX_AUXILIARY_CONNECTIONS),
+            || AUXILIARY_LIMITS,
             move |_, request| handle_auxiliary_request(Rc::clone(&shared), request),
         ));
     }
     let limit_context = Rc::clone(&context);
     let shared = Rc::clone(&context);
-    spawn(serve_http_with_idle_limit(
+    spawn(serve_clients(
         callers,
         context.stop.clone(),
-        MAX_CALLER_CONNECTIONS,
-        move || idle_limit_ms(&limit_context),
+        ClientEntrance::new(&clients, MAX_CALLER_CONNECTIONS),
+        move || caller_limits(&limit_context),
         move |_, request| handle_request(Rc::clone(&shared), request),
     ));
     stop.received().await.map_err(EdgeError::Signal)?;
@@ -160,11 +182,28 @@
     Ok(())
 }
 
-/// Milliseconds after which an idle connection of a caller is closed.
-fn idle_limit_ms(context: &EdgeContext) -> u64 {
-    context.config().map_or(UNKNOWN_IDLE_LIMIT_MS, |config| {
-        config.limits.idle_timeout_ms.max(MIN_IDLE_LIMIT_MS)
-    })
+/// Limits of a caller, from the operators' configuration.
+fn caller_limits(context: &EdgeContext) -> ClientLimits {
+    let Some(config) = context.config() else {
+        return ClientLimits {
+            idle_ms: UNKNOWN_IDLE_LIMIT_MS,
+            ..ClientLimits::default()
+        };
+    };
+    ClientLimits {
+        head_bytes: config.limits.max_header_bytes,
+        head_ms: config.limits.header_timeout_ms,
+        idle_ms: config.limits.idle_timeout_ms.max(MIN_IDLE_LIMIT_MS),
+        response_ms: RESPONSE_LIMIT_MS,
+    }
+}
+
+/// Counts and logs that a client was turned away.
+fn note_client_end(context: &EdgeContext, end: ClientEnd) {
+    context.metrics.count_client_end(end.name());
+    if let Some(count) = context.client_ends.count(ClockTime::now()) {
+        warn!(context.logger, "clients turned away"; "reason" => end.name(), "clients" => count);
+    }
 }
 
 /// Serves readiness checks, address lookups and metrics.
@@ -196,7 +235,7 @@
 }
 
 /// Closes expired connections and updates gauges until the process ends.
-async fn run_maintenance(context: SharedContext) {
+async fn run_maintenance(context: SharedContext, clients: ClientRegister) {
     loop {
         context.upstreams.drop_expired();
         context.relays.drop_expired();
@@ -208,6 +247,8 @@
         metrics
             .listing_age_ms
             .set(in_metrics(context.listing_age(now)));
+        metrics.connected_clients.set(clients.connected() as i64);
+        metrics.client_bytes.set(clients.held_bytes() as i64);
         metrics.hub_age_ms.set(in_metrics(context.hub_age(now)));
         update_instance_gauges(&context, now);
         sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -56,6 +56,7 @@
     path_changes: Family<ReasonLabel, Counter>,
     relays: Family<ReasonLabel, Counter>,
     passed_over_hubs: Family<ReasonLabel, Counter>,
+    client_ends: Family<ReasonLabel, Counter>,
     latency: Family<KindLabel, Histogram>,
     /// Version of the configuration in force.
     pub(crate) config_version: Gauge,
@@ -73,6 +74,10 @@
     pub(crate) era_changes: Counter,
     /// Milliseconds from the last change until this host knew everything again.
     pub(crate) era_catch_up_ms: Gauge,
+    /// Connections of clients at all listeners.
+    pub(crate) connected_clients: Gauge,
+    /// Bytes of the pool that clients hold.
+    pub(crate) client_bytes: Gauge,
     /// Number of instances that accept requests.
     pub(crate) usable_instances: Gauge,
     /// Number of these that are suspected to be faulty.
@@ -93,6 +98,9 @@
         let path_changes = Family::default();
         let relays = Family::default();
         let passed_over_hubs = Family::default();
+        let client_ends = Family::default();
+        let connected_clients = Gauge::default();
+        let client_bytes = Gauge::default();
         let latency = Family::<KindLabel, Histogram>::new_with_constructor(|| {
             Histogram::new(LATENCY_BUCKETS_S)
         });
@@ -149,6 +157,21 @@
             "Hubs that this host stopped using, by reason",
             passed_over_hubs.clone(),
         );
+        registry.register(
+            "turned_away_clients",
+            "Clients that were turned away, by reason",
+            client_ends.clone(),
+        );
+        registry.register(
+            "connected_clients",
+            "Connections of clients at all listeners",
+            connected_clients.clone(),
+        );
+        registry.register(
+            "client_pool_bytes",
+            "Bytes of the pool that clients hold",
+            client_bytes.clone(),
+        );
         registry.register("answer_seconds", "Time to the answer", latency.clone());
         registry.register(
             "config_version",
@@ -209,6 +232,9 @@
             path_changes,
             relays,
             passed_over_hubs,
+            client_ends,
+            connected_clients,
+            client_bytes,
             latency,
             config_version,
             evidence_age_ms,
@@ -294,6 +320,12 @@
         self.passed_over_hubs.get_or_create(&label).inc();
     }
 
+    /// Counts a client that was turned away.
+    pub(crate) fn count_client_end(&self, reason: &'static str) {
+        let label = ReasonLabel { reason };
+        self.client_ends.get_or_create(&label).inc();
+    }
+
     /// Records the milliseconds until the response on a route of `kind`.
     pub(crate) fn observe_latency(&self, kind: &'static str, millis: u64) {
         self.latency
--- a/crates/transport/src/connect.rs
+++ b/crates/transport/src/connect.rs
@@ -58,6 +58,14 @@
     Ok(())
 }
 
+/// Makes the kernel reset the connection, and forget what it holds for it, when `stream` is closed.
+pub(crate) fn reset_on_close(stream: &TcpStream) {
+    // Without the option the connection is closed and the kernel goes on writing.
+    if let Ok(socket) = stream.to_poll_fd() {
+        let _ = rustix::net::sockopt::set_socket_linger(&socket, Some(Duration::ZERO));
+    }
+}
+
 /// Listens on `address`; fails with `Listen` on a socket error.
 pub async fn listen_on(address: SocketAddr) -> Result<TcpListener, TransportError> {
     listen(address)
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -22,6 +22,10 @@
 use rustix::net::SocketFlags;
 use rustix::net::accept_with;
 
+use crate::ClientAccount;
+use crate::ClientEntrance;
+use crate::ClientLimits;
+use crate::ClientRegister;
 use crate::ServerStop;
 use crate::connect::ACCEPT_RETRY_DELAY;
 use crate::connect::LISTEN_BACKLOG;
@@ -29,16 +33,10 @@
 use crate::server_connection::runtime_round;
 use crate::server_connection::serve_connection;
 
-/// Milliseconds after which an idle connection is closed, unless the server has another limit.
-const DEFAULT_IDLE_MS: u64 = 30_000;
-
 /// Serves every accepted connection with `handler`, and accepts connections until `stop` closes
 /// the listener.
 ///
-/// Connections that wait to be accepted at that time are served as well. When
-/// `stop` closes the connections, each of them finishes its current request
-/// first. While `max_connections` are open, each further one is closed as soon
-/// as it is accepted.
+/// As [`serve_clients`] with limits of its own; the handler gets the address of the client.
 pub async fn serve_http<H, F, B>(
     listener: TcpListener,
     stop: ServerStop,
@@ -50,19 +48,32 @@
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    serve_http_with_idle_limit(listener, stop, max_connections, || DEFAULT_IDLE_MS, handler).await;
+    let entrance = ClientEntrance::new(&ClientRegister::default(), max_connections);
+    serve_clients(
+        listener,
+        stop,
+        entrance,
+        ClientLimits::default,
+        move |account, request| handler(account.address(), request),
+    )
+    .await;
 }
 
-/// Serves like [`serve_http`], and closes a connection that has been idle for the milliseconds
-/// that `idle_limit_ms` returned when it was accepted.
-pub async fn serve_http_with_idle_limit<H, F, B>(
+/// Serves every client that is accepted at `entrance` with `handler`, and accepts connections
+/// until `stop` closes the listener.
+///
+/// Connections that wait to be accepted at that time are served as well. When
+/// `stop` closes the connections, each of them finishes its current request
+/// first. A connection has the limits that `limits` returned when it was
+/// accepted.
+pub async fn serve_clients<H, F, B>(
     listener: TcpListener,
     stop: ServerStop,
-    max_connections: usize,
-    idle_limit_ms: impl Fn() -> u64,
+    entrance: ClientEntrance,
+    limits: impl Fn() -> ClientLimits + 'static,
     handler: H,
 ) where
-    H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
+    H: Fn(ClientAccount, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<B>> + 'static,
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -73,13 +84,12 @@
         let Ok((stream, address)) = accepted else {
             return;
         };
-        if stop.open_connections() >= max_connections {
+        let Some(account) = entrance.connect(address) else {
             return;
-        }
+        };
         let guard = stop.register_connection();
-        let idle_limit = Duration::from_millis(idle_limit_ms());
         let handler = Rc::clone(&handler);
-        let served = serve_connection(stream, address, stop.clone(), idle_limit, handler);
+        let served = serve_connection(stream, account, stop.clone(), limits(), handler);
         let task = async move {
             served.await;
             drop(guard);
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -8,7 +8,15 @@
 
 mod bounded_stream;
 mod byte_meter;
+mod client_account;
+mod client_end;
+mod client_entrance;
+mod client_limits;
+mod client_register;
+mod client_stream;
 mod connect;
+mod handed_body;
+mod held_body;
 mod hop_headers;
 mod http_client;
 mod http_server;
@@ -20,19 +28,31 @@
 mod response_body;
 mod server_connection;
 mod server_stop;
+mod socket_stream;
 mod stop_signal;
 mod transport_error;
 mod upstream_connection;
 mod upstream_pool;
 
+pub use crocushoist_clients::MemoryUse;
+pub use crocushoist_clients::OWN_BYTES;
+
 pub use byte_meter::ByteMeter;
+pub use client_account::ClientAccount;
+pub use client_account::HeldMemory;
+pub use client_end::ClientEnd;
+pub use client_entrance::ClientEntrance;
+pub use client_limits::ClientLimits;
+pub use client_register::ClientRegister;
 pub use connect::connect_from;
 pub use connect::listen_on;
+pub use held_body::BodyError;
+pub use held_body::HeldBody;
 pub use hop_headers::without_hop_by_hop_headers;
 pub use http_client::HttpClient;
 pub use http_client::HttpResponse;
+pub use http_server::serve_clients;
 pub use http_server::serve_http;
-pub use http_server::serve_http_with_idle_limit;
 pub use metered_stream::MeteredStream;
 pub use peer_connection::PeerConnection;
 pub use peer_connection::serve_peers;
--- a/crates/transport/src/response_body.rs
+++ b/crates/transport/src/response_body.rs
@@ -6,6 +6,7 @@
 //! truncated response never looks complete.
 
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -15,6 +16,14 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
+use crate::HeldBody;
+use crate::HeldMemory;
+
+/// Maximum size in bytes of a part of a buffered body that is handed to the connection at once.
+///
+/// The connection keeps what it was handed until the caller takes it.
+const PART_BYTES: usize = 16 * 1024;
+
 type EndCallback = Box<dyn FnOnce(BodyEnd)>;
 
 /// How a streamed body ended.
@@ -32,6 +41,8 @@
 pub struct ResponseBody {
     source: BodySource,
     on_end: Option<EndCallback>,
+    /// Memory that the caller holds until the body was handed over.
+    _memory: Option<Rc<HeldMemory>>,
 }
 
 enum BodySource {
@@ -45,6 +56,17 @@
         ResponseBody {
             source: BodySource::Buffered(Some(bytes.into())),
             on_end: None,
+            _memory: None,
+        }
+    }
+
+    /// Body that was read as a whole, for whose memory the caller is charged.
+    pub fn held(body: HeldBody) -> Self {
+        let (bytes, memory) = body.into_parts();
+        ResponseBody {
+            source: BodySource::Buffered(Some(bytes)),
+            on_end: None,
+            _memory: memory,
         }
     }
 
@@ -53,6 +75,7 @@
         let mut body = ResponseBody {
             source: BodySource::Streamed(incoming),
             on_end: Some(Box::new(on_end)),
+            _memory: None,
         };
         if body.is_end_stream() {
             body.report_end(BodyEnd::Complete);
@@ -77,8 +100,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let incoming = match &mut self.source {
             BodySource::Buffered(bytes) => {
-                let frame = bytes.take().filter(|bytes| !bytes.is_empty());
-                return Poll::Ready(frame.map(|bytes| Ok(Frame::data(bytes))));
+                return Poll::Ready(next_part(bytes).map(|part| Ok(Frame::data(part))));
             }
             BodySource::Streamed(incoming) => incoming,
         };
@@ -109,6 +131,23 @@
     }
 }
 
+/// Takes the next part of `bytes`.
+fn next_part(bytes: &mut Option<Bytes>) -> Option<Bytes> {
+    let mut rest = bytes.take().filter(|bytes| !bytes.is_empty())?;
+    if rest.len() <= PART_BYTES {
+        return Some(rest);
+    }
+    // A slice would keep the whole body in memory for as long as the part.
+    let part = Bytes::copy_from_slice(&rest.split_to(PART_BYTES));
+    let is_last = rest.len() <= PART_BYTES;
+    *bytes = Some(if is_last {
+        Bytes::copy_from_slice(&rest)
+    } else {
+        rest
+    });
+    Some(part)
+}
+
 impl Drop for ResponseBody {
     fn drop(&mut self) {
         self.report_end(BodyEnd::Abandoned);
--- a/crates/transport/src/server_connection.rs
+++ b/crates/transport/src/server_connection.rs
@@ -12,7 +12,6 @@
 use std::future::Future;
 use std::future::poll_fn;
 use std::mem;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::pin::pin;
 use std::rc::Rc;
@@ -21,11 +20,11 @@
 
 use bytes::Bytes;
 use compio::io::AsyncRead;
+use compio::io::AsyncWriteExt;
 use compio::net::TcpStream;
 use compio::time::sleep;
 use compio::time::timeout;
 use cyper_core::CompioTimer;
-use cyper_core::HyperStream;
 use futures_util::FutureExt;
 use futures_util::future::Either;
 use futures_util::future::select;
@@ -33,14 +32,25 @@
 use hyper::Response;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
 use hyper::service::service_fn;
 use rustix::net::RecvFlags;
 use rustix::net::recv;
 
+use crocushoist_clients::ClientStage;
+
+use crate::ClientAccount;
+use crate::ClientEnd;
+use crate::ClientLimits;
 use crate::ServerStop;
+use crate::client_stream::ClientStream;
 use crate::connect::close_when_unacknowledged;
+use crate::connect::reset_on_close;
+use crate::handed_body::HandedBody;
+use crate::socket_stream::SocketStream;
 
 /// Milliseconds for which a socket is still read after it was told to close.
 ///
@@ -61,18 +71,26 @@
 /// Milliseconds for which a caller may go on sending after its response.
 const MAX_REST_MS: u64 = 1_000;
 
+/// Minimum size in bytes of the buffers of the HTTP library.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Response to a head that does not end.
+const HEAD_LATE_RESPONSE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Size in bytes of the buffer for what is thrown away.
 const REST_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Serves the requests on a connection of the caller at `address` until it ends, or `stop` closes it.
+/// Serves the requests on the connection of a client until it ends, `stop` closes it, or the client
+/// must give way.
 pub(crate) async fn serve_connection<H, F, B>(
     stream: TcpStream,
-    address: SocketAddr,
+    account: ClientAccount,
     stop: ServerStop,
-    idle_limit: Duration,
+    limits: ClientLimits,
     handler: Rc<H>,
 ) where
-    H: Fn(SocketAddr, Request<Incoming>) -> F + 'static,
+    H: Fn(ClientAccount, Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<B>> + 'static,
     B: Body<Data = Bytes> + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
@@ -82,18 +100,66 @@
     let _ = close_when_unacknowledged(&stream);
     let has_body = Rc::new(Cell::new(false));
     let last_has_body = Rc::clone(&has_body);
+    let request_account = account.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         has_body.set(!request.body().is_end_stream());
-        let handler = Rc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler(address, request).await) }.boxed_local()
+        request_account.set_stage(ClientStage::Served);
+        let account = request_account.clone();
+        let response = handler(account.clone(), request);
+        async move {
+            let mut response = response.await;
+            if account.upload_ended().is_raised() {
+                let headers = response.headers_mut();
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            account.begin_response();
+            Ok::<_, Infallible>(response.map(|body| HandedBody::new(body, account)))
+        }
+        .boxed_local()
     });
+    let socket = ClientStream::new(SocketStream::new(stream.clone()), account.clone());
     let connection = http1::Builder::new()
         .timer(CompioTimer)
-        .header_read_timeout(idle_limit)
-        .serve_connection(HyperStream::new_plain(stream.clone()), service);
-    let end = run_connection(connection, &stream, &stop).await;
-    if end == ConnectionEnd::Response && last_has_body.get() {
-        discard_rest(stream).await;
+        .header_read_timeout(Duration::from_millis(limits.idle_ms))
+        .max_header_size(limits.head_bytes)
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(socket, service);
+    let end = {
+        let mut running = pin!(run_connection(connection, &stream, &stop));
+        match select(&mut running, account.closed().raised()).await {
+            Either::Left((end, _)) => end,
+            // The next request of an idle client may have come meanwhile.
+            Either::Right(_)
+                if account.left_stage() == ClientStage::Idle && has_unread_bytes(&stream) =>
+            {
+                account.stay();
+                running.await
+            }
+            Either::Right(_) => ConnectionEnd::TurnedAway,
+        }
+    };
+    match end {
+        ConnectionEnd::Response if last_has_body.get() => discard_rest(stream).await,
+        ConnectionEnd::HeadTooLong => {
+            account.report(ClientEnd::HeadTooLong);
+            discard_rest(stream).await;
+        }
+        ConnectionEnd::TurnedAway => turn_away(stream, &account).await,
+        _ => {}
+    }
+}
+
+/// Ends the connection of a client that gives way.
+async fn turn_away(mut stream: TcpStream, account: &ClientAccount) {
+    match account.left_stage() {
+        // Whatever the client was sent before has been taken, so this is the response to its head.
+        ClientStage::Head if account.end() == Some(ClientEnd::HeadLate) => {
+            let _ = stream.write_all(HEAD_LATE_RESPONSE).await;
+            discard_rest(stream).await;
+        }
+        // The kernel would keep what the client does not take.
+        ClientStage::Response => reset_on_close(&stream),
+        _ => {}
     }
 }
 
@@ -106,12 +172,17 @@
     Idle,
     /// It failed, or the caller sent nothing for too long.
     Failed,
+    /// The head of a request was too long, and was refused.
+    HeadTooLong,
+    /// The client had to give way.
+    TurnedAway,
 }
 
-impl<T, E> From<Result<T, E>> for ConnectionEnd {
-    fn from(result: Result<T, E>) -> Self {
+impl From<hyper::Result<()>> for ConnectionEnd {
+    fn from(result: hyper::Result<()>) -> Self {
         match result {
-            Ok(_) => ConnectionEnd::Response,
+            Ok(()) => ConnectionEnd::Response,
+            Err(error) if error.is_parse_too_large() => ConnectionEnd::HeadTooLong,
             Err(_) => ConnectionEnd::Failed,
         }
     }
@@ -119,7 +190,7 @@
 
 /// Runs `connection` over `stream` until it ends, or `stop` closes it.
 async fn run_connection<S, B>(
-    mut connection: http1::Connection<HyperStream<TcpStream>, S>,
+    mut connection: http1::Connection<ClientStream, S>,
     stream: &TcpStream,
     stop: &ServerStop,
 ) -> ConnectionEnd
--- a/crates/transport/src/upstream_connection.rs
+++ b/crates/transport/src/upstream_connection.rs
@@ -8,7 +8,6 @@
 use std::net::SocketAddr;
 
 use compio::runtime::JoinHandle;
-use cyper_core::HyperStream;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -19,6 +18,7 @@
 use crate::bounded_stream::BoundedStream;
 use crate::bounded_stream::ReadAllowance;
 use crate::connect_from;
+use crate::socket_stream::SocketStream;
 
 /// Maximum number of bytes that are read before the head of the response is complete.
 ///
@@ -26,6 +26,9 @@
 /// other.
 const MAX_BYTES_BEFORE_RESPONSE: usize = 1024 * 1024;
 
+/// Maximum size in bytes of the buffers of the HTTP library, and so of the head of a response.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Why sending a request failed.
 #[derive(Debug)]
 pub enum AttemptFailure {
@@ -56,8 +59,10 @@
     ) -> Result<Self, TransportError> {
         let stream = connect_from(source, address, timeout_ms).await?;
         let allowance = ReadAllowance::new(MAX_BYTES_BEFORE_RESPONSE);
-        let stream = BoundedStream::new(HyperStream::new_plain(stream), allowance.clone());
-        let (sender, connection) = http1::handshake(stream)
+        let stream = BoundedStream::new(SocketStream::new(stream), allowance.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(stream)
             .await
             .map_err(|error| TransportError::Http { address, error })?;
         let task = compio::runtime::spawn(async move {
--- a/crates/transport/tests/idle_limit.rs
+++ b/crates/transport/tests/idle_limit.rs
@@ -12,10 +12,13 @@
 use compio::time::sleep;
 use hyper::Response;
 
+use crocushoist_transport::ClientEntrance;
+use crocushoist_transport::ClientLimits;
+use crocushoist_transport::ClientRegister;
 use crocushoist_transport::ResponseBody;
 use crocushoist_transport::ServerStop;
 use crocushoist_transport::listen_on;
-use crocushoist_transport::serve_http_with_idle_limit;
+use crocushoist_transport::serve_clients;
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: server\r\n\r\n";
 
@@ -37,11 +40,14 @@
         let address = listener.local_addr().unwrap();
         let limit_ms = Rc::new(Cell::new(FIRST_LIMIT_MS));
         let shared_ms = Rc::clone(&limit_ms);
-        let server = serve_http_with_idle_limit(
+        let server = serve_clients(
             listener,
             ServerStop::default(),
-            usize::MAX,
-            move || shared_ms.get(),
+            ClientEntrance::new(&ClientRegister::default(), usize::MAX),
+            move || ClientLimits {
+                idle_ms: shared_ms.get(),
+                ..ClientLimits::default()
+            },
             |_, _| async { Response::new(ResponseBody::buffered("served")) },
         );
         compio::runtime::spawn(server).detach();
