Give the places of silent clients to those that ask

Callers got a reset while 1,400 other clients were connected that sent nothing: each of the 1,300 places was taken until IdleTimeoutMs.

Cause: a listener refused whoever came after its last place was taken, and that is the ordinary caller. The number of places could not be set.

Now the client that has least to lose gives up its place: one that has sent nothing, then one whose head has not ended, then an idle one. A client whose request is served keeps its place, and an idle one whose next request waits unread is served. The numbers are settings, limits.caller-connections and limits.auxiliary-connections, with the values that were built in.

--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -57,12 +57,6 @@
 /// was known.
 const UNKNOWN_IDLE_LIMIT_MS: u64 = 300_000;
 
-/// Maximum open connections of callers; a third of the file descriptors that a host may have.
-const MAX_CALLER_CONNECTIONS: usize = 1_300;
-
-/// Maximum open connections on each auxiliary address.
-const MAX_AUXILIARY_CONNECTIONS: usize = 400;
-
 /// Part of the memory of the process that clients share for bodies and responses.
 const CLIENT_POOL_DIVISOR: u64 = 4;
 
@@ -144,7 +138,7 @@
     spawn(serve_clients(
         peers,
         Default::default(),
-        ClientEntrance::new(&clients, MAX_AUXILIARY_CONNECTIONS),
+        ClientEntrance::new(&clients, context.settings.auxiliary_connections),
         || AUXILIARY_LIMITS,
         move |_, request| handle_peer_request(Rc::clone(&shared), request),
     ));
@@ -162,7 +156,7 @@
         spawn(serve_clients(
             listener,
             Default::default(),
-            ClientEntrance::new(&clients, MAX_AUXILIARY_CONNECTIONS),
+            ClientEntrance::new(&clients, context.settings.auxiliary_connections),
             || AUXILIARY_LIMITS,
             move |_, request| handle_auxiliary_request(Rc::clone(&shared), request),
         ));
@@ -172,7 +166,7 @@
     spawn(serve_clients(
         callers,
         context.stop.clone(),
-        ClientEntrance::new(&clients, MAX_CALLER_CONNECTIONS),
+        ClientEntrance::new(&clients, context.settings.caller_connections),
         move || caller_limits(&limit_context),
         move |_, request| handle_request(Rc::clone(&shared), request),
     ));
--- a/crates/transport/src/client_register.rs
+++ b/crates/transport/src/client_register.rs
@@ -79,10 +79,13 @@
         address: SocketAddr,
     ) -> Option<ClientAccount> {
         let claim = self.ledger(|ledger, now| ledger.connect(listener, now));
-        let PlaceClaim::Granted(key, _) = claim else {
+        let PlaceClaim::Granted(key, gives_way) = claim else {
             self.report(ClientEnd::NoPlace);
             return None;
         };
+        if let Some(leaving) = gives_way {
+            self.tell_to_leave(leaving, ClientEnd::GavePlace);
+        }
         let account = ClientAccount::new(self.clone(), key, address);
         let mut accounts = self.0.accounts.borrow_mut();
         accounts.insert(key, account.downgrade());
