Apply the time limit for heads, and limit the time to take a response

Callers could not see it directly: a client that sends one byte of a head a second, or takes one byte of its response a second, kept its connection, and the place of somebody else, for as long as it liked.

Cause: HeaderTimeoutMs was read from the configuration and applied nowhere. The library's own time-out starts with the end of the request before, so it served as the limit for idle connections. Nothing limited the time to take a response.

Connections without a byte and idle ones have their limit as before.

The limit for responses has no test of its own.

--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -178,15 +178,19 @@
 
 /// Limits of a caller, from the operators' configuration.
 fn caller_limits(context: &EdgeContext) -> ClientLimits {
+    let unknown = ClientLimits {
+        idle_ms: UNKNOWN_IDLE_LIMIT_MS,
+        ..ClientLimits::default()
+    };
     let Some(config) = context.config() else {
-        return ClientLimits {
-            idle_ms: UNKNOWN_IDLE_LIMIT_MS,
-            ..ClientLimits::default()
-        };
+        return unknown;
     };
+    // A limit of zero would refuse every request.
+    let head_bytes = Some(config.limits.max_header_bytes).filter(|bytes| *bytes > 0);
+    let head_ms = Some(config.limits.header_timeout_ms).filter(|millis| *millis > 0);
     ClientLimits {
-        head_bytes: config.limits.max_header_bytes,
-        head_ms: config.limits.header_timeout_ms,
+        head_bytes: head_bytes.unwrap_or(unknown.head_bytes),
+        head_ms: head_ms.unwrap_or(unknown.head_ms),
         idle_ms: config.limits.idle_timeout_ms.max(MIN_IDLE_LIMIT_MS),
         response_ms: RESPONSE_LIMIT_MS,
     }
--- a/crates/transport/src/client_entrance.rs
+++ b/crates/transport/src/client_entrance.rs
@@ -5,6 +5,7 @@
 use crocushoist_clients::ListenerKey;
 
 use crate::ClientAccount;
+use crate::ClientLimits;
 use crate::ClientRegister;
 
 /// Entrance of a listener to the register of clients; clones share its places.
@@ -27,4 +28,9 @@
     pub(crate) fn connect(&self, address: SocketAddr) -> Option<ClientAccount> {
         self.register.connect(self.listener, address)
     }
+
+    /// Turns away the clients that exceed the time limits.
+    pub(crate) fn end_overdue(&self, limits: ClientLimits) {
+        self.register.end_overdue(self.listener, limits);
+    }
 }
--- a/crates/transport/src/client_register.rs
+++ b/crates/transport/src/client_register.rs
@@ -12,12 +12,14 @@
 
 use crocushoist_clients::ClientKey;
 use crocushoist_clients::ClientLedger;
+use crocushoist_clients::ClientStage;
 use crocushoist_clients::ListenerKey;
 use crocushoist_clients::PlaceClaim;
 use crocushoist_state::ClockTime;
 
 use crate::ClientAccount;
 use crate::ClientEnd;
+use crate::ClientLimits;
 use crate::client_account::AccountState;
 
 /// Pool in bytes of a register that nobody else chose one for.
@@ -92,6 +94,25 @@
         Some(account)
     }
 
+    /// Turns away the clients of `listener` that exceed the time limits.
+    pub(crate) fn end_overdue(&self, listener: ListenerKey, limits: ClientLimits) {
+        let checks = [
+            (ClientStage::Head, limits.head_ms, ClientEnd::HeadLate),
+            (
+                ClientStage::Response,
+                limits.response_ms,
+                ClientEnd::ResponseLate,
+            ),
+        ];
+        for (stage, max_ms, end) in checks {
+            let overdue = self.ledger(|ledger, now| ledger.overdue(listener, stage, max_ms, now));
+            for key in overdue {
+                self.ledger(|ledger, _| ledger.leave(key));
+                self.tell_to_leave(key, end);
+            }
+        }
+    }
+
     /// Tells the client `key`, which the ledger has as leaving, to give way.
     pub(crate) fn tell_to_leave(&self, key: ClientKey, end: ClientEnd) {
         self.report(end);
--- a/crates/transport/src/http_server.rs
+++ b/crates/transport/src/http_server.rs
@@ -33,6 +33,9 @@
 use crate::server_connection::runtime_round;
 use crate::server_connection::serve_connection;
 
+/// Milliseconds between checks of the time limits of the clients.
+const LIMIT_CHECK_MS: u64 = 1_000;
+
 /// Serves every accepted connection with `handler`, and accepts connections until `stop` closes
 /// the listener.
 ///
@@ -65,7 +68,7 @@
 /// Connections that wait to be accepted at that time are served as well. When
 /// `stop` closes the connections, each of them finishes its current request
 /// first. A connection has the limits that `limits` returned when it was
-/// accepted.
+/// accepted, except for those in time, which apply as they are now.
 pub async fn serve_clients<H, F, B>(
     listener: TcpListener,
     stop: ServerStop,
@@ -80,6 +83,10 @@
 {
     let listener_guard = stop.register_listener();
     let handler = Rc::new(handler);
+    let limits = Rc::new(limits);
+    let checked_limits = Rc::clone(&limits);
+    let checks = check_limits(entrance.clone(), stop.clone(), move || checked_limits());
+    compio::runtime::spawn(checks).detach();
     let serve = |accepted: io::Result<(TcpStream, SocketAddr)>| {
         let Ok((stream, address)) = accepted else {
             return;
@@ -112,6 +119,18 @@
     drop(listener_guard);
 }
 
+/// Turns away clients that exceed the time limits until the server has ended.
+async fn check_limits(
+    entrance: ClientEntrance,
+    stop: ServerStop,
+    limits: impl Fn() -> ClientLimits,
+) {
+    while !stop.has_ended() {
+        sleep(Duration::from_millis(LIMIT_CHECK_MS)).await;
+        entrance.end_overdue(limits());
+    }
+}
+
 /// Accepts a connection that waits, `None` if the kernel has none.
 fn accept_waiting(listener: &TcpListener) -> Option<io::Result<(TcpStream, SocketAddr)>> {
     let stream = match accept_with(listener, SocketFlags::CLOEXEC) {
