Count the memory of bodies and responses, and end what costs most

Callers saw a host run out of memory while other clients uploaded all but the last byte of a body, or did not read long responses; the same at both hosts of a relayed request.

Cause: MaxBodyBytes bounds one body and nothing bounded all. Bodies were collected in parts and copied, the stream copied whole responses into its buffer, relayed requests were held five times at two hosts.

Now 16 KB of a message are free and the rest comes from a pool of a quarter of the memory, which all clients share. It is claimed before the bytes are read and given back with the last copy. A request without room is refused with 503 before its body is read, so it was certainly not run. While the pool is short, the client that has cost most in bytes times milliseconds gives way: an upload with 503, a response that nobody takes with a reset. Requests in progress never do, and ordinary callers do not compete, since their messages are free.

--- a/crates/edge/src/buffered_response.rs
+++ b/crates/edge/src/buffered_response.rs
@@ -1,11 +1,11 @@
 //! Response of an instance, received completely before any byte goes to the
 //! caller.
 
-use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
 
+use crocushoist_transport::HeldBody;
 use crocushoist_transport::ResponseBody;
 use crocushoist_transport::without_hop_by_hop_headers;
 
@@ -17,7 +17,7 @@
     /// Headers as the instance sent them.
     pub(crate) headers: HeaderMap,
     /// Complete body.
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
 }
 
 impl BufferedResponse {
@@ -28,7 +28,7 @@
 
     /// Response to the caller.
     pub(crate) fn into_response(self) -> Response<ResponseBody> {
-        let mut response = Response::new(ResponseBody::buffered(self.body));
+        let mut response = Response::new(ResponseBody::held(self.body));
         *response.status_mut() = self.status;
         *response.headers_mut() = without_hop_by_hop_headers(&self.headers);
         response
--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -22,6 +22,7 @@
 
 use crocushoist_platform::names;
 use crocushoist_state::ClockTime;
+use crocushoist_transport::ClientAccount;
 use crocushoist_transport::ClientEnd;
 use crocushoist_transport::ClientEntrance;
 use crocushoist_transport::ClientLimits;
@@ -46,6 +47,7 @@
 use crate::path_prober::probe_paths;
 use crate::peer_fetch::fetch_from_peers;
 use crate::peer_server::handle_peer_request;
+use crate::peer_server::held_response;
 use crate::peer_tasks::PeerTasks;
 use crate::request_handler::handle_request;
 use crate::roster_sync::sync_roster;
@@ -140,7 +142,7 @@
         Default::default(),
         ClientEntrance::new(&clients, context.settings.auxiliary_connections),
         || AUXILIARY_LIMITS,
-        move |_, request| handle_peer_request(Rc::clone(&shared), request),
+        move |account, request| handle_peer_request(Rc::clone(&shared), account, request),
     ));
     spawn(follow_config(Rc::clone(&context)));
     spawn(follow_listing(Rc::clone(&context)));
@@ -158,7 +160,7 @@
             Default::default(),
             ClientEntrance::new(&clients, context.settings.auxiliary_connections),
             || AUXILIARY_LIMITS,
-            move |_, request| handle_auxiliary_request(Rc::clone(&shared), request),
+            move |account, request| handle_auxiliary_request(Rc::clone(&shared), account, request),
         ));
     }
     let limit_context = Rc::clone(&context);
@@ -168,7 +170,7 @@
         context.stop.clone(),
         ClientEntrance::new(&clients, context.settings.caller_connections),
         move || caller_limits(&limit_context),
-        move |_, request| handle_request(Rc::clone(&shared), request),
+        move |account, request| handle_request(Rc::clone(&shared), account, request),
     ));
     stop.received().await.map_err(EdgeError::Signal)?;
     spawn(log_repeated_stops(Rc::clone(&context), stop));
@@ -207,20 +209,21 @@
 /// Serves readiness checks, address lookups and metrics.
 async fn handle_auxiliary_request(
     context: SharedContext,
+    account: ClientAccount,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     match request.uri().path() {
         names::READY_PATH => answer_readiness(&context),
         names::RESOLVE_PATH => answer_addresses(&context, request.uri().query()),
-        METRICS_PATH => answer_metrics(&context),
+        METRICS_PATH => answer_metrics(&context, &account),
         _ => empty_response(StatusCode::NOT_FOUND),
     }
 }
 
-fn answer_metrics(context: &EdgeContext) -> Response<ResponseBody> {
+fn answer_metrics(context: &EdgeContext, account: &ClientAccount) -> Response<ResponseBody> {
     match context.metrics.encode() {
         Ok(text) => {
-            let mut response = Response::new(ResponseBody::buffered(text));
+            let mut response = held_response(account, text.into());
             let headers = response.headers_mut();
             headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
             response
--- a/crates/edge/src/edge_refusal.rs
+++ b/crates/edge/src/edge_refusal.rs
@@ -32,6 +32,8 @@
     BodyTooLarge,
     /// The request body could not be read completely before the deadline.
     BodyUnread,
+    /// The host has no memory for the request.
+    NoMemory,
     /// The workspace has reached its limit.
     OverLimit,
     /// The queues at all healthy instances are longer than the objective allows.
@@ -80,6 +82,7 @@
             EdgeReason::KeyUnknown => "key_unknown",
             EdgeReason::BodyTooLarge => "body_too_large",
             EdgeReason::BodyUnread => "body_unread",
+            EdgeReason::NoMemory => "no_memory",
             EdgeReason::OverLimit => "over_limit",
             EdgeReason::Overloaded => "overloaded",
             EdgeReason::NoInstance => "no_instance",
@@ -106,6 +109,7 @@
             | EdgeReason::NoHosts
             | EdgeReason::StaleEvidence
             | EdgeReason::Stopping
+            | EdgeReason::NoMemory
             | EdgeReason::Overloaded
             | EdgeReason::NoInstance
             | EdgeReason::InstancesOnHold
--- a/crates/edge/src/instance_attempt.rs
+++ b/crates/edge/src/instance_attempt.rs
@@ -28,6 +28,7 @@
 use crocushoist_policy::PathContact;
 use crocushoist_state::ClockTime;
 use crocushoist_transport::AttemptFailure;
+use crocushoist_transport::ClientAccount;
 use crocushoist_transport::RequestBody;
 use crocushoist_transport::UpstreamConnection;
 
@@ -43,7 +44,7 @@
 pub(crate) const CONNECT_TIMEOUT_MS: u64 = 250;
 
 /// Maximum response body in bytes; the largest responses of the deployed services have 9 KB.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+pub(crate) const MAX_RESPONSE_BYTES: u64 = 4 * 1024 * 1024;
 
 /// Maximum request body in bytes after which the connection is reused.
 ///
@@ -133,6 +134,8 @@
     pub(crate) head: &'a ForwardHead,
     /// Request body.
     pub(crate) body: &'a Bytes,
+    /// Account of the client that gets the response.
+    pub(crate) account: &'a ClientAccount,
     /// When the caller must have its response.
     pub(crate) deadline: Instant,
     /// Milliseconds after the start of sending at which an attempt without a response head is
@@ -279,8 +282,8 @@
         guard.record_failed();
         return AttemptResult::MayHaveRun { reason: CROSSED };
     }
-    let limited = Limited::new(body, MAX_RESPONSE_BYTES);
-    let body = match timeout_at(input.deadline, limited.collect()).await {
+    let read = input.account.read_answer(body, MAX_RESPONSE_BYTES);
+    let body = match timeout_at(input.deadline, read).await {
         Err(_) => return AttemptResult::OutOfTime,
         Ok(Err(_)) => {
             guard.record_failed();
@@ -289,7 +292,7 @@
                 reason: CUT_SHORT,
             };
         }
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
     };
     let response = BufferedResponse {
         status: head.status,
--- a/crates/edge/src/relay_message.rs
+++ b/crates/edge/src/relay_message.rs
@@ -112,7 +112,7 @@
         WireResponse {
             status: response.status.as_u16(),
             headers: (&response.headers).into(),
-            body: response.body.to_vec(),
+            body: response.body.bytes().to_vec(),
         }
     }
 }
@@ -124,7 +124,7 @@
         Ok(BufferedResponse {
             status: StatusCode::from_u16(wire.status)?,
             headers: wire.headers.try_into()?,
-            body: wire.body.into(),
+            body: Bytes::from(wire.body).into(),
         })
     }
 }
@@ -153,6 +153,7 @@
             | EdgeReason::KeyUnknown
             | EdgeReason::BodyTooLarge
             | EdgeReason::BodyUnread
+            | EdgeReason::NoMemory
             | EdgeReason::OverLimit
             | EdgeReason::Overloaded => WireReason::NotSent,
         }
--- a/crates/edge/src/relay_sender.rs
+++ b/crates/edge/src/relay_sender.rs
@@ -6,19 +6,21 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use bytes::Bytes;
 use compio::time::timeout_at;
-use http_body_util::BodyExt;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::Uri;
-use hyper::body::Incoming;
 use hyper::header::HOST;
 use slog::info;
 
 use crocushoist_state::ClockTime;
 use crocushoist_transport::AttemptFailure;
+use crocushoist_transport::ClientAccount;
+use crocushoist_transport::HeldBody;
+use crocushoist_transport::HeldMemory;
+use crocushoist_transport::MemoryUse;
+use crocushoist_transport::OWN_BYTES;
 use crocushoist_transport::RequestBody;
 
 use crate::buffered_response::BufferedResponse;
@@ -28,46 +30,65 @@
 use crate::hub_exchange::apply_departures;
 use crate::instance_attempt::AttemptResult;
 use crate::instance_attempt::CONNECT_TIMEOUT_MS;
+use crate::instance_attempt::MAX_RESPONSE_BYTES;
 use crate::peer_server::RELAY_PATH;
 use crate::relay_message::RelayAnswer;
 use crate::relay_message::RelayOutcome;
 use crate::relay_message::RelayRequest;
+use crate::request_handler::overload_retry_delay_ms;
+
+/// Maximum answer in bytes: a response, its headers and what is known of departures.
+const MAX_ANSWER_BYTES: u64 = MAX_RESPONSE_BYTES + 1024 * 1024;
 
 /// Milliseconds for which an idle connection to a host is kept; less than the host keeps it.
 const KEEP_CONNECTION_MS: u64 = 10_000;
 
-/// Relays `request` to the host that other hosts reach at `peer`.
+/// Host that a request is relayed to.
+#[derive(Clone, Copy)]
+pub(crate) struct RelayPeer<'a> {
+    /// Address at which other hosts reach it.
+    pub(crate) address: SocketAddr,
+    /// Account of the client for which the request is relayed.
+    pub(crate) account: &'a ClientAccount,
+}
+
+/// Relays `request` to `peer`.
 pub(crate) async fn relay(
     context: &EdgeContext,
-    peer: SocketAddr,
-    request: &RelayRequest,
+    peer: RelayPeer<'_>,
+    request: RelayRequest,
     deadline: Instant,
 ) -> AttemptResult {
     match exchange(context, peer, request, deadline).await {
-        Ok(answer) => result_of(context, peer, answer),
+        Ok(message) => read_message(context, peer.address, &message),
         Err(result) => result,
     }
 }
 
-/// Sends `request` and reads the answer; fails with the result of an attempt without one.
+/// Sends `request` and reads the message that answers it; fails with the result of an attempt
+/// without one.
 async fn exchange(
     context: &EdgeContext,
-    peer: SocketAddr,
-    request: &RelayRequest,
+    peer: RelayPeer<'_>,
+    request: RelayRequest,
     deadline: Instant,
-) -> Result<RelayAnswer, AttemptResult> {
+) -> Result<HeldBody, AttemptResult> {
     let not_run = |reason| AttemptResult::NotRun {
         reason,
         reached_instance: false,
     };
     let failed = |reason| AttemptResult::MayHaveRun { reason };
-    let bytes = postcard::to_allocvec(request).map_err(|_| not_run("relay_not_encoded"))?;
-    let connected = context.relays.get(peer, CONNECT_TIMEOUT_MS).await;
+    let RelayPeer { address, account } = peer;
+    // The message holds the body once more.
+    let _memory = hold_message(account, request.body.len()).await?;
+    let bytes = postcard::to_allocvec(&request).map_err(|_| not_run("relay_not_encoded"))?;
+    drop(request);
+    let connected = context.relays.get(address, CONNECT_TIMEOUT_MS).await;
     let mut connection = connected.map_err(|_| not_run("relay_unreachable"))?;
     let mut message = Request::new(RequestBody::buffered(bytes));
     *message.method_mut() = Method::POST;
     *message.uri_mut() = Uri::from_static(RELAY_PATH);
-    if let Ok(host) = peer.to_string().parse() {
+    if let Ok(host) = address.to_string().parse() {
         message.headers_mut().insert(HOST, host);
     }
     let answered = async {
@@ -84,25 +105,50 @@
             status if status.is_client_error() => return Err(not_run("relay_rejected")),
             _ => return Err(failed("relay_rejected")),
         }
-        read_answer(response.into_body())
-            .await
-            .ok_or(failed("relay_cut_short"))
+        let read = account.read_answer(response.into_body(), MAX_ANSWER_BYTES);
+        read.await.map_err(|_| failed("relay_cut_short"))
     };
     let answered = timeout_at(deadline, answered).await;
-    let bytes = answered.map_err(|_| AttemptResult::OutOfTime)??;
+    let message = answered.map_err(|_| AttemptResult::OutOfTime)??;
     context
         .relays
         .put_with_lifetime(connection, KEEP_CONNECTION_MS);
-    postcard::from_bytes(&bytes).map_err(|_| failed("relay_unreadable"))
+    Ok(message)
 }
 
-async fn read_answer(body: Incoming) -> Option<Bytes> {
-    let collected = body.collect().await.ok()?;
-    Some(collected.to_bytes())
+/// Claims the memory for a message with a body of `body_bytes`; fails if there is none.
+async fn hold_message(
+    account: &ClientAccount,
+    body_bytes: usize,
+) -> Result<Option<HeldMemory>, AttemptResult> {
+    if body_bytes as u64 <= OWN_BYTES {
+        return Ok(None);
+    }
+    let memory = account.claim(MemoryUse::Request, body_bytes as u64).await;
+    memory.map(Some).ok_or_else(|| {
+        let reason = EdgeReason::NoMemory;
+        let refusal = EdgeRefusal::with_retry_after(reason, overload_retry_delay_ms());
+        AttemptResult::Refused(refusal)
+    })
 }
 
-/// Result of an attempt that the host at `peer` answered.
-fn result_of(context: &EdgeContext, peer: SocketAddr, answer: RelayAnswer) -> AttemptResult {
+/// Result of an attempt that the host at `peer` answered with `message`.
+fn read_message(context: &EdgeContext, peer: SocketAddr, message: &HeldBody) -> AttemptResult {
+    match postcard::from_bytes(message.bytes()) {
+        Ok(answer) => result_of(context, peer, answer, message),
+        Err(_) => AttemptResult::MayHaveRun {
+            reason: "relay_unreadable",
+        },
+    }
+}
+
+/// Result of an attempt that the host at `peer` answered, for which `message` was held.
+fn result_of(
+    context: &EdgeContext,
+    peer: SocketAddr,
+    answer: RelayAnswer,
+    message: &HeldBody,
+) -> AttemptResult {
     let now = ClockTime::now();
     {
         let mut table = context.instances.borrow_mut();
@@ -111,7 +157,10 @@
     let (wire_reason, retry_after_ms) = match answer.outcome {
         RelayOutcome::Responded(wire) => {
             return match BufferedResponse::try_from(wire) {
-                Ok(response) => AttemptResult::Responded(response),
+                Ok(mut response) => {
+                    response.body = message.with_bytes(response.body.bytes().clone());
+                    AttemptResult::Responded(response)
+                }
                 Err(error) => {
                     info!(context.logger, "cannot read a relayed response";
                         "peer" => peer.to_string(), "cause" => %error);
--- a/crates/edge/src/request_forwarder.rs
+++ b/crates/edge/src/request_forwarder.rs
@@ -14,7 +14,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use compact_str::format_compact;
 use compio::time::sleep;
@@ -27,6 +26,8 @@
 use crocushoist_policy::RetryPayment;
 use crocushoist_policy::RetrySafety;
 use crocushoist_state::ClockTime;
+use crocushoist_transport::ClientAccount;
+use crocushoist_transport::HeldBody;
 
 use crate::buffered_response::BufferedResponse;
 use crate::crash_observer::observe_crash;
@@ -42,6 +43,7 @@
 use crate::instance_attempt::AttemptResult;
 use crate::instance_attempt::send_attempt;
 use crate::relay_message::RelayRequest;
+use crate::relay_sender::RelayPeer;
 use crate::relay_sender::relay;
 use crate::request_progress::ProgressGuard;
 use crate::request_record::AttemptRecord;
@@ -104,7 +106,9 @@
     /// Request head, which all attempts share.
     pub(crate) head: ForwardHead,
     /// Request body, which all attempts send.
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
+    /// Account of the client that sent the request.
+    pub(crate) account: &'a ClientAccount,
     /// Whether another host may carry the request; false if it came from one.
     pub(crate) may_relay: bool,
     /// Hash of what makes the request the same when it comes again, once it was needed.
@@ -305,11 +309,17 @@
             method: self.head.method().as_str().into(),
             path: self.head.path().into(),
             headers: self.head.headers().into(),
-            body: self.body.to_vec(),
+            body: self.body.bytes().to_vec(),
         };
         let _open_attempt = self.request.open_attempt();
         let result = match peer {
-            Some(peer) => relay(self.context, peer, &request, self.deadline).await,
+            Some(peer) => {
+                let peer = RelayPeer {
+                    address: peer,
+                    account: self.account,
+                };
+                relay(self.context, peer, request, self.deadline).await
+            }
             None => AttemptResult::NotRun {
                 reason: "relay_unreachable",
                 reached_instance: false,
@@ -334,7 +344,8 @@
         };
         let input = AttemptInput {
             head: &self.head,
-            body: &self.body,
+            body: self.body.bytes(),
+            account: self.account,
             deadline: self.deadline,
             slow_ms,
         };
@@ -364,7 +375,7 @@
 
     /// Hash of what makes the request the same when it comes again.
     fn request_hash(&self) -> u64 {
-        let hash = || request_hash(&self.service, &self.head, &self.body);
+        let hash = || request_hash(&self.service, &self.head, self.body.bytes());
         *self.content_hash.get_or_init(hash)
     }
 
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -8,11 +8,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use compio::time::timeout;
 use compio::time::timeout_at;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -38,6 +36,9 @@
 use crocushoist_policy::WorkspaceSpec;
 use crocushoist_state::ClockTime;
 use crocushoist_state::KeyDigest;
+use crocushoist_transport::BodyError;
+use crocushoist_transport::ClientAccount;
+use crocushoist_transport::HeldBody;
 use crocushoist_transport::ResponseBody;
 
 use crate::edge_context::EdgeContext;
@@ -62,7 +63,8 @@
 /// Milliseconds after which a caller should retry if this host has no configuration yet.
 const NO_CONFIG_RETRY_DELAY_MS: u64 = 500;
 
-/// Range in milliseconds from which the retry delay for an overloaded service is drawn.
+/// Range in milliseconds from which the retry delay for an overloaded service, or a host without
+/// memory, is drawn.
 ///
 /// A slot becomes free every few hundred milliseconds.
 const MIN_OVERLOAD_RETRY_DELAY_MS: u64 = 200;
@@ -71,6 +73,7 @@
 /// Serves one request of a caller, then counts and logs the outcome.
 pub(crate) async fn handle_request(
     context: SharedContext,
+    account: ClientAccount,
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived_at = Instant::now();
@@ -84,8 +87,8 @@
     let (head, mut body) = request.into_parts();
     let served = serve_request(
         &context,
-        &head,
-        &mut body,
+        &account,
+        (&head, &mut body),
         arrived_at,
         &progress,
         &mut record,
@@ -113,8 +116,8 @@
 /// Checks and forwards the request. Returns the response of an instance, or why there is none.
 async fn serve_request(
     context: &SharedContext,
-    head: &Parts,
-    body: &mut Incoming,
+    account: &ClientAccount,
+    (head, body): (&Parts, &mut Incoming),
     arrived_at: Instant,
     progress: &ProgressGuard,
     record: &mut RequestRecord,
@@ -143,7 +146,7 @@
     check_capacity(context, service, rank, record)
         .inspect_err(|_| undo_admission(context, workspace))?;
     let deadline = arrived_at + Duration::from_millis(budget_ms);
-    let body = read_body(body, &config, deadline)
+    let body = read_body(account, body, &config, deadline)
         .await
         .inspect_err(|_| undo_admission(context, workspace))?;
     // A stop may have begun, or gone on, while the body arrived.
@@ -163,6 +166,7 @@
         deadline,
         head,
         body,
+        account,
         may_relay: true,
         content_hash: OnceCell::new(),
     };
@@ -298,15 +302,10 @@
     }
     record.waiting_per_slot = table.min_queue_per_slot(service, ClockTime::now());
     match record.waiting_per_slot {
-        Some(queue) if !rank.admits(queue) => {
-            // The random delay keeps callers that are refused together from retrying together.
-            let retry_after_ms =
-                rand::random_range(MIN_OVERLOAD_RETRY_DELAY_MS..MAX_OVERLOAD_RETRY_DELAY_MS);
-            Err(EdgeRefusal::with_retry_after(
-                EdgeReason::Overloaded,
-                retry_after_ms,
-            ))
-        }
+        Some(queue) if !rank.admits(queue) => Err(EdgeRefusal::with_retry_after(
+            EdgeReason::Overloaded,
+            overload_retry_delay_ms(),
+        )),
         _ => Ok(()),
     }
 }
@@ -359,27 +358,33 @@
 
 /// Reads the whole body, up to the size limit and until the deadline.
 async fn read_body(
+    account: &ClientAccount,
     body: &mut Incoming,
     config: &DeploymentConfig,
     deadline: Instant,
-) -> Result<Bytes, EdgeRefusal> {
+) -> Result<HeldBody, EdgeRefusal> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(HeldBody::default());
     }
     let max_bytes = config.limits.max_body_bytes.min(MAX_BUFFERED_BODY_BYTES);
-    if body.size_hint().lower() > max_bytes {
-        return Err(EdgeRefusal::new(EdgeReason::BodyTooLarge));
-    }
-    let collected = timeout_at(deadline, Limited::new(body, max_bytes as usize).collect()).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(EdgeRefusal::new(EdgeReason::BodyTooLarge))
-        }
-        Ok(Err(_)) | Err(_) => Err(EdgeRefusal::new(EdgeReason::BodyUnread)),
+    match timeout_at(deadline, account.read_upload(body, max_bytes)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLong(_))) => Err(EdgeRefusal::new(EdgeReason::BodyTooLarge)),
+        Ok(Err(BodyError::NoMemory)) => Err(EdgeRefusal::with_retry_after(
+            EdgeReason::NoMemory,
+            overload_retry_delay_ms(),
+        )),
+        Ok(Err(BodyError::Broken(_))) | Err(_) => Err(EdgeRefusal::new(EdgeReason::BodyUnread)),
     }
 }
 
+/// Milliseconds after which a caller should retry that was refused for lack of room.
+///
+/// The random delay keeps callers that are refused together from retrying together.
+pub(crate) fn overload_retry_delay_ms() -> u64 {
+    rand::random_range(MIN_OVERLOAD_RETRY_DELAY_MS..MAX_OVERLOAD_RETRY_DELAY_MS)
+}
+
 /// Reads what is left of the body of a request that has its response. Returns whether the
 /// connection can be used again, which needs that the rest is short and arrives soon.
 async fn discard_rest(headers: &HeaderMap, body: Incoming) -> bool {
