Take the end of a connection for no end of a response while a request is sent

Cause: a socket reports a reset once, to whichever call comes first. Where a write gets it, or has not been asked yet, the read sees a plain end, and that ends a body without a length.

Now the stream below every outgoing connection knows whether the request was sent as a whole. An end before that, or after a failed write, is an error. Responses with a length or in chunks end by themselves and count as before.

--- a/crates/transport/src/bounded_stream.rs
+++ b/crates/transport/src/bounded_stream.rs
@@ -2,7 +2,8 @@
 //!
 //! A remote side that sends without end, such as interim responses that are
 //! never followed by a final one, would otherwise keep its reader busy for as
-//! long as it sends.
+//! long as it sends. The end of the connection is an error while a request is
+//! sent, see [`SendProgress`].
 
 use std::cell::Cell;
 use std::io;
@@ -17,6 +18,8 @@
 use hyper::rt::ReadBufCursor;
 use hyper::rt::Write;
 
+use crate::send_progress::SendProgress;
+
 /// Size in bytes of one read.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -29,6 +32,7 @@
 pub(crate) struct BoundedStream<S> {
     inner: S,
     allowance: ReadAllowance,
+    progress: SendProgress,
 }
 
 impl ReadAllowance {
@@ -53,9 +57,21 @@
 }
 
 impl<S> BoundedStream<S> {
-    /// Bounds what is read from `inner` by `allowance`.
-    pub(crate) fn new(inner: S, allowance: ReadAllowance) -> Self {
-        BoundedStream { inner, allowance }
+    /// Bounds what is read from `inner` by `allowance`, and records in `progress` what is written.
+    pub(crate) fn new(inner: S, allowance: ReadAllowance, progress: SendProgress) -> Self {
+        BoundedStream {
+            inner,
+            allowance,
+            progress,
+        }
+    }
+
+    fn note_write(&self, written: io::Result<usize>) -> io::Result<usize> {
+        match written {
+            Ok(_) => self.progress.write(),
+            Err(_) => self.progress.fail(),
+        }
+        written
     }
 }
 
@@ -69,6 +85,10 @@
         let length = READ_BYTES.min(buf.remaining());
         let mut read = ReadBuf::new(&mut bytes[..length]);
         ready!(Pin::new(&mut self.inner).poll_read(cx, read.unfilled()))?;
+        if read.filled().is_empty() && self.progress.is_unfinished() {
+            let message = "the connection ended before the request was sent";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionReset, message)));
+        }
         if !self.allowance.take(read.filled().len()) {
             let message = "the remote side sent too much before its response";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
@@ -84,11 +104,17 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, buf));
+        Poll::Ready(self.note_write(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
+        let flushed = ready!(Pin::new(&mut self.inner).poll_flush(cx));
+        match flushed {
+            Ok(()) => self.progress.flush(),
+            Err(_) => self.progress.fail(),
+        }
+        Poll::Ready(flushed)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -104,6 +130,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let written = ready!(Pin::new(&mut self.inner).poll_write_vectored(cx, bufs));
+        Poll::Ready(self.note_write(written))
     }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -26,6 +26,7 @@
 mod process_signal;
 mod request_body;
 mod response_body;
+mod send_progress;
 mod server_connection;
 mod server_stop;
 mod socket_stream;
--- a/crates/transport/src/upstream_connection.rs
+++ b/crates/transport/src/upstream_connection.rs
@@ -12,12 +12,16 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::rt::Read;
+use hyper::rt::Write;
 
 use crate::RequestBody;
 use crate::TransportError;
 use crate::bounded_stream::BoundedStream;
 use crate::bounded_stream::ReadAllowance;
 use crate::connect_from;
+use crate::send_progress::SendProgress;
+use crate::send_progress::SentBody;
 use crate::socket_stream::SocketStream;
 
 /// Maximum number of bytes that are read before the head of the response is complete.
@@ -42,8 +46,9 @@
 #[derive(Debug)]
 pub struct UpstreamConnection {
     address: SocketAddr,
-    sender: http1::SendRequest<RequestBody>,
+    sender: http1::SendRequest<SentBody>,
     allowance: ReadAllowance,
+    progress: SendProgress,
     _task: JoinHandle<()>,
 }
 
@@ -58,8 +63,17 @@
         timeout_ms: u64,
     ) -> Result<Self, TransportError> {
         let stream = connect_from(source, address, timeout_ms).await?;
+        UpstreamConnection::over(address, SocketStream::new(stream)).await
+    }
+
+    /// Connection to `address` over `stream`; fails with `Http` if the HTTP handshake fails.
+    pub async fn over<S>(address: SocketAddr, stream: S) -> Result<Self, TransportError>
+    where
+        S: Read + Write + Unpin + 'static,
+    {
         let allowance = ReadAllowance::new(MAX_BYTES_BEFORE_RESPONSE);
-        let stream = BoundedStream::new(SocketStream::new(stream), allowance.clone());
+        let progress = SendProgress::default();
+        let stream = BoundedStream::new(stream, allowance.clone(), progress.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(stream)
@@ -72,6 +86,7 @@
             address,
             sender,
             allowance,
+            progress,
             _task: task,
         })
     }
@@ -92,6 +107,7 @@
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, AttemptFailure> {
         self.allowance.set(Some(MAX_BYTES_BEFORE_RESPONSE));
+        let request = request.map(|body| self.progress.watch(body));
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 // Who reads the body bounds it.
@@ -99,7 +115,10 @@
                 Ok(response)
             }
             Err(mut failure) => match failure.take_message() {
-                Some(request) => Err(AttemptFailure::NotWritten(Box::new(request))),
+                Some(request) => {
+                    let request = request.map(SentBody::into_inner);
+                    Err(AttemptFailure::NotWritten(Box::new(request)))
+                }
                 None => Err(AttemptFailure::MaybeWritten(TransportError::Http {
                     address: self.address,
                     error: failure.into_error(),
