--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -245,7 +245,8 @@
                 | LinkState::Delayed(_)
                 | LinkState::Endless(_)
                 | LinkState::CutAfter(_)
-                | LinkState::EarlierRefusal(_) => {}
+                | LinkState::EarlierRefusal(_)
+                | LinkState::OddHead(_) => {}
             }
         }
         FaultKind::InstanceFault(instance, choice) => {
