Bound the responses of the store and of other hosts

A host whose store, or a host of the fleet, answers without end would read on until its time-out and hold all of it. No caller has seen it.

Cause: the bound for responses of instances was not there for the client of the store, of lists and of the earlier host's log.

Now that client reads 32 MB at most, several times the longest list that the platform's sizes allow, and fails with an error that names the limit.

--- a/crates/transport/src/http_client.rs
+++ b/crates/transport/src/http_client.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use compio::time::timeout;
 use http_body_util::BodyExt;
+use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
@@ -22,6 +23,9 @@
 use crate::TransportError;
 use crate::UpstreamConnection;
 
+/// Maximum body of a response in bytes, several times that of the longest list or configuration.
+const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+
 /// HTTP response with its complete body.
 #[derive(Clone, Debug)]
 pub struct HttpResponse {
@@ -77,7 +81,7 @@
 
     /// Sends a request and reads the complete response, whatever its status.
     ///
-    /// Fails with `Timeout`, or with `Connect` or `Http` if the connection fails.
+    /// Fails with `Timeout`, with `TooLong`, or with `Connect` or `Http` if the connection fails.
     pub async fn call(
         &mut self,
         method: &str,
@@ -152,10 +156,18 @@
         };
         let (head, body) = response.into_parts();
         let address = self.address;
-        let body = body
-            .collect()
-            .await
-            .map_err(|error| TransportError::Http { address, error })?
+        let collected = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let body = collected
+            .map_err(|error| match error.downcast() {
+                Ok(error) => TransportError::Http {
+                    address,
+                    error: *error,
+                },
+                Err(_) => TransportError::TooLong {
+                    address,
+                    max_bytes: MAX_RESPONSE_BYTES,
+                },
+            })?
             .to_bytes();
         self.idle_connection = Some(IdleConnection {
             connection,
--- a/crates/transport/src/transport_error.rs
+++ b/crates/transport/src/transport_error.rs
@@ -37,6 +37,13 @@
         /// Error of the operation.
         error: hyper::Error,
     },
+    /// the response of {address} is longer than {max_bytes} bytes
+    TooLong {
+        /// Address of the remote side.
+        address: SocketAddr,
+        /// Maximum length in bytes.
+        max_bytes: usize,
+    },
     /// {address} responded with status {status}: {body}
     Status {
         /// Address of the remote side.
--- a/crates/transport/tests/odd_responses.rs
+++ b/crates/transport/tests/odd_responses.rs
@@ -50,3 +50,29 @@
         assert!(called.is_err(), "{called:?}");
     });
 }
+
+/// Guards against responses that are read for as long as the other side sends.
+#[test]
+fn response_without_end_is_an_error() {
+    const PART_BYTES: usize = 64 * 1024;
+    const MAX_PARTS: usize = 4_096;
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 1_024];
+        let _ = stream.read(&mut buffer).unwrap();
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").unwrap();
+        let part = vec![b'a'; PART_BYTES];
+        let taken = (0..MAX_PARTS).take_while(|_| stream.write_all(&part).is_ok());
+        taken.count()
+    });
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        const LONG_TIMEOUT_MS: u64 = 60_000;
+        let mut client = HttpClient::new(None, address, LONG_TIMEOUT_MS);
+        let called = client.call("GET", "/", &[], Bytes::new()).await;
+        assert!(called.is_err());
+    });
+    let taken_parts = server.join().unwrap();
+    assert!(taken_parts < MAX_PARTS, "all {taken_parts} parts were read");
+}
