Bound what the kernel keeps for a connection

Callers could not see it: a client that uploads fast and then sends on while its request is served had the kernel keep 339 KB for it, which count towards the memory of the machine, and 1,300 of them more than it has.

Cause: the kernel lets the buffers of a connection grow with the speed at which it is read, up to some MB.

Now the listening sockets set 32 KB in each direction, which accepted connections have as well and of which the kernel makes 64 KB.

Evidence: bytes_that_wait_behind_a_request_are_bounded, 339,171 bytes before and 86,016 now, 204,800 allowed (260 MB for 1,300 connections).

--- a/crates/transport/src/connect.rs
+++ b/crates/transport/src/connect.rs
@@ -14,6 +14,12 @@
 /// Most connections that wait to be accepted on one listening socket.
 pub(crate) const LISTEN_BACKLOG: i32 = 1_024;
 
+/// Size in bytes of the kernel's buffers for each direction of an accepted connection.
+///
+/// The kernel would let them grow to some MB for a client that sends fast, and doubles this number
+/// for its own use.
+const KERNEL_BUFFER_BYTES: u32 = 32 * 1024;
+
 /// Time after which a listening socket is tried again on which no connection could be accepted.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -76,6 +82,9 @@
 async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = new_socket(address).await?;
     socket.set_reuseaddr(true)?;
+    // Accepted connections have the sizes of the listener. Without them the kernel's own apply.
+    let _ = socket.set_recv_buffer_size(KERNEL_BUFFER_BYTES);
+    let _ = socket.set_send_buffer_size(KERNEL_BUFFER_BYTES);
     socket.bind(address).await?;
     socket.listen(LISTEN_BACKLOG).await
 }
