--- a/crates/edge/src/edge_context.rs
+++ b/crates/edge/src/edge_context.rs
@@ -204,6 +204,10 @@
     pub(crate) skipped_entries: LogLimiter,
     /// Clients that were turned away.
     pub(crate) client_ends: LogLimiter,
+    /// Datagrams that cannot be decoded.
+    pub(crate) unread_datagrams: LogLimiter,
+    /// Relayed requests that cannot be handled.
+    pub(crate) unread_relays: LogLimiter,
     /// Start of the process.
     pub(crate) started_at: ClockTime,
     /// Start of the planned stop, `None` before it.
@@ -284,6 +288,8 @@
             unreadable_signal_logged_at: Cell::new(None),
             skipped_entries: LogLimiter::default(),
             client_ends: LogLimiter::default(),
+            unread_datagrams: LogLimiter::default(),
+            unread_relays: LogLimiter::default(),
             started_at: ClockTime::now(),
             stop_started_at: Cell::new(None),
             in_progress: Rc::default(),
--- a/crates/edge/src/peer_tasks.rs
+++ b/crates/edge/src/peer_tasks.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -182,20 +183,24 @@
             match PeerNotes::decode_with(&buffer[..length]) {
                 Ok((message, notes)) => {
                     let notes = notes.unwrap_or_else(|error| {
-                        warn!(self.context.logger, "cannot decode the notes of a datagram";
-                            "peer" => peer.to_string(), "cause" => %error);
+                        self.log_undecodable(peer, &error);
                         PeerNotes::default()
                     });
                     self.handle_message(peer, message, &notes).await;
                 }
-                Err(error) => {
-                    warn!(self.context.logger, "cannot decode a datagram";
-                        "peer" => peer.to_string(), "cause" => %error);
-                }
+                Err(error) => self.log_undecodable(peer, &error),
             }
         }
     }
 
+    /// Logs a datagram that cannot be decoded, or whose notes cannot.
+    fn log_undecodable(&self, peer: SocketAddr, error: &dyn Display) {
+        if let Some(count) = self.context.unread_datagrams.count(ClockTime::now()) {
+            warn!(self.context.logger, "cannot decode a datagram";
+                "peer" => peer.to_string(), "cause" => %error, "datagrams" => count);
+        }
+    }
+
     /// Hub of this data centre, `None` while this host has read no registrations or finds no host
     /// that can be hub.
     ///
--- a/crates/edge/src/relay_handler.rs
+++ b/crates/edge/src/relay_handler.rs
@@ -88,7 +88,10 @@
             encode_held_answer(context, &answer, &held)
         }
         Err(error) => {
-            warn!(context.logger, "cannot handle a relayed request"; "cause" => %error);
+            if let Some(count) = context.unread_relays.count(ClockTime::now()) {
+                warn!(context.logger, "cannot handle a relayed request"; "cause" => %error,
+                    "requests" => count);
+            }
             empty_response(StatusCode::BAD_REQUEST)
         }
     }
