--- a/crates/transport/src/connect.rs
+++ b/crates/transport/src/connect.rs
@@ -18,7 +18,7 @@
 ///
 /// The kernel would let them grow to some MB for a client that sends fast, and doubles this number
 /// for its own use.
-const KERNEL_BUFFER_BYTES: u32 = 32 * 1024;
+const KERNEL_BUFFER_BYTES: u32 = 16 * 1024;
 
 /// Time after which a listening socket is tried again on which no connection could be accepted.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
