Keep the limits of a client that went on, and stream for as long as it takes

A client that was told to give up its place while its next request waited goes on, but nobody could tell it to end again, so it had no limits in time from then on. It waits for a new signal now.

Every server limited the time to take a response to 60 s, also the earlier host, which streams responses that may last longer. Only the hosts on the platform have that limit now, whose responses are whole.

A request that is refused for memory or for its place has the reason no_room, as both are meant.

--- a/crates/edge/src/edge_host.rs
+++ b/crates/edge/src/edge_host.rs
@@ -182,6 +182,7 @@
 fn caller_limits(context: &EdgeContext) -> ClientLimits {
     let unknown = ClientLimits {
         idle_ms: UNKNOWN_IDLE_LIMIT_MS,
+        response_ms: RESPONSE_LIMIT_MS,
         ..ClientLimits::default()
     };
     let Some(config) = context.config() else {
@@ -194,7 +195,7 @@
         head_bytes: head_bytes.unwrap_or(unknown.head_bytes),
         head_ms: head_ms.unwrap_or(unknown.head_ms),
         idle_ms: config.limits.idle_timeout_ms.max(MIN_IDLE_LIMIT_MS),
-        response_ms: RESPONSE_LIMIT_MS,
+        ..unknown
     }
 }
 
--- a/crates/edge/src/edge_refusal.rs
+++ b/crates/edge/src/edge_refusal.rs
@@ -32,8 +32,8 @@
     BodyTooLarge,
     /// The request body could not be read completely before the deadline.
     BodyUnread,
-    /// The host has no memory for the request.
-    NoMemory,
+    /// The host has no memory for the request, or needed its place.
+    NoRoom,
     /// The workspace has reached its limit.
     OverLimit,
     /// The queues at all healthy instances are longer than the objective allows.
@@ -82,7 +82,7 @@
             EdgeReason::KeyUnknown => "key_unknown",
             EdgeReason::BodyTooLarge => "body_too_large",
             EdgeReason::BodyUnread => "body_unread",
-            EdgeReason::NoMemory => "no_memory",
+            EdgeReason::NoRoom => "no_room",
             EdgeReason::OverLimit => "over_limit",
             EdgeReason::Overloaded => "overloaded",
             EdgeReason::NoInstance => "no_instance",
@@ -109,7 +109,7 @@
             | EdgeReason::NoHosts
             | EdgeReason::StaleEvidence
             | EdgeReason::Stopping
-            | EdgeReason::NoMemory
+            | EdgeReason::NoRoom
             | EdgeReason::Overloaded
             | EdgeReason::NoInstance
             | EdgeReason::InstancesOnHold
--- a/crates/edge/src/relay_message.rs
+++ b/crates/edge/src/relay_message.rs
@@ -153,7 +153,7 @@
             | EdgeReason::KeyUnknown
             | EdgeReason::BodyTooLarge
             | EdgeReason::BodyUnread
-            | EdgeReason::NoMemory
+            | EdgeReason::NoRoom
             | EdgeReason::OverLimit
             | EdgeReason::Overloaded => WireReason::NotSent,
         }
--- a/crates/edge/src/relay_sender.rs
+++ b/crates/edge/src/relay_sender.rs
@@ -126,7 +126,7 @@
     }
     let memory = account.claim(MemoryUse::Request, body_bytes as u64).await;
     memory.map(Some).ok_or_else(|| {
-        let reason = EdgeReason::NoMemory;
+        let reason = EdgeReason::NoRoom;
         let refusal = EdgeRefusal::with_retry_after(reason, overload_retry_delay_ms());
         AttemptResult::Refused(refusal)
     })
--- a/crates/edge/src/request_handler.rs
+++ b/crates/edge/src/request_handler.rs
@@ -370,8 +370,8 @@
     match timeout_at(deadline, account.read_upload(body, max_bytes)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(BodyError::TooLong(_))) => Err(EdgeRefusal::new(EdgeReason::BodyTooLarge)),
-        Ok(Err(BodyError::NoMemory)) => Err(EdgeRefusal::with_retry_after(
-            EdgeReason::NoMemory,
+        Ok(Err(BodyError::NoRoom)) => Err(EdgeRefusal::with_retry_after(
+            EdgeReason::NoRoom,
             overload_retry_delay_ms(),
         )),
         Ok(Err(BodyError::Broken(_))) | Err(_) => Err(EdgeRefusal::new(EdgeReason::BodyUnread)),
--- a/crates/transport/src/client_account.rs
+++ b/crates/transport/src/client_account.rs
@@ -1,6 +1,7 @@
 //! Account of one client: its stage, and the memory that it holds.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -28,8 +29,8 @@
     register: ClientRegister,
     key: ClientKey,
     address: SocketAddr,
-    /// Raised when the connection must be closed.
-    closed: StopSignal,
+    /// Raised when the connection must be closed; another one after it went on all the same.
+    closed: RefCell<StopSignal>,
     /// Raised when the upload must end, which is then refused.
     upload_ended: StopSignal,
     end: Cell<Option<ClientEnd>>,
@@ -61,7 +62,7 @@
             register,
             key,
             address,
-            closed: StopSignal::default(),
+            closed: RefCell::default(),
             upload_ended: StopSignal::default(),
             end: Cell::default(),
             head_bytes: Cell::default(),
@@ -95,8 +96,8 @@
     }
 
     /// Signal by which the connection is told to close.
-    pub(crate) fn closed(&self) -> &StopSignal {
-        &self.0.closed
+    pub(crate) fn closed(&self) -> StopSignal {
+        self.0.closed.borrow().clone()
     }
 
     /// Signal by which an upload is told to end.
@@ -135,6 +136,7 @@
     /// Goes on although it was told to give way, since its next request has come.
     pub(crate) fn stay(&self) {
         let key = self.0.key;
+        self.0.closed.take();
         self.0.register.ledger(|ledger, now| ledger.stay(key, now));
     }
 
@@ -229,7 +231,7 @@
         if left_stage == ClientStage::Upload {
             self.upload_ended.raise();
         } else {
-            self.closed.raise();
+            self.closed.borrow().raise();
         }
     }
 }
--- a/crates/transport/src/client_limits.rs
+++ b/crates/transport/src/client_limits.rs
@@ -9,7 +9,8 @@
     pub head_ms: u64,
     /// Milliseconds for which a connection without a request is kept.
     pub idle_ms: u64,
-    /// Milliseconds in which a client must have taken its response.
+    /// Milliseconds in which a client must have taken its response; a streamed one may take any
+    /// time.
     pub response_ms: u64,
 }
 
@@ -19,7 +20,7 @@
             head_bytes: 64 * 1024,
             head_ms: 30_000,
             idle_ms: 30_000,
-            response_ms: 60_000,
+            response_ms: u64::MAX,
         }
     }
 }
--- a/crates/transport/src/held_body.rs
+++ b/crates/transport/src/held_body.rs
@@ -42,8 +42,8 @@
 pub enum BodyError {
     /// it is longer than {0} bytes
     TooLong(u64),
-    /// there is no memory for it
-    NoMemory,
+    /// there is no room for it
+    NoRoom,
     /// {0}
     Broken(hyper::Error),
 }
@@ -78,7 +78,7 @@
     /// Reads the body of a request of this client.
     ///
     /// Fails if it is longer than `max_bytes`, is broken off, or must end because there is no
-    /// memory for it; the request must not be passed on then.
+    /// memory or no place for it; the request must not be passed on then.
     pub async fn read_upload(
         &self,
         body: &mut Incoming,
@@ -89,9 +89,9 @@
         let reading = pin!(self.read(body, max_bytes, MemoryUse::Request));
         let result = match select(reading, ended).await {
             Either::Left((result, _)) => result,
-            Either::Right(_) => Err(BodyError::NoMemory),
+            Either::Right(_) => Err(BodyError::NoRoom),
         };
-        if matches!(result, Err(BodyError::NoMemory)) && !self.upload_ended().is_raised() {
+        if matches!(result, Err(BodyError::NoRoom)) && !self.upload_ended().is_raised() {
             self.report(ClientEnd::NoMemory);
         }
         self.set_stage(ClientStage::Served);
@@ -174,7 +174,7 @@
 async fn grow(memory: &mut HeldMemory, bytes: u64, usage: MemoryUse) -> Result<(), BodyError> {
     while !memory.grow(bytes).await {
         if usage == MemoryUse::Request {
-            return Err(BodyError::NoMemory);
+            return Err(BodyError::NoRoom);
         }
         sleep(Duration::from_millis(CLAIM_AGAIN_MS)).await;
     }
--- a/crates/transport/src/server_connection.rs
+++ b/crates/transport/src/server_connection.rs
@@ -126,16 +126,17 @@
         .serve_connection(socket, service);
     let end = {
         let mut running = pin!(run_connection(connection, &stream, &stop));
-        match select(&mut running, account.closed().raised()).await {
-            Either::Left((end, _)) => end,
-            // The next request of an idle client may have come meanwhile.
-            Either::Right(_)
-                if account.left_stage() == ClientStage::Idle && has_unread_bytes(&stream) =>
-            {
-                account.stay();
-                running.await
+        loop {
+            match select(&mut running, account.closed().raised()).await {
+                Either::Left((end, _)) => break end,
+                // The next request of an idle client may have come meanwhile.
+                Either::Right(_)
+                    if account.left_stage() == ClientStage::Idle && has_unread_bytes(&stream) =>
+                {
+                    account.stay();
+                }
+                Either::Right(_) => break ConnectionEnd::TurnedAway,
             }
-            Either::Right(_) => ConnectionEnd::TurnedAway,
         }
     };
     match end {
